Thin whole path: control group, gateway, scheduler, emulated workers

Change: root package with interfaces and plain data; journaler, replicator (Raft-like log), messenger (yamux and protobuf), keeper (state machine), watcher, router, admitter, forwarder, granter, scheduler, placer (first fit), operator (HTTP), emulator, loader, client and the command tree.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: build run test lint generate
+
+build:
+	CGO_ENABLED=1 go build -o bin/carobrock ./cmd/carobrock
+
+run: build
+	./bin/carobrock local
+
+test:
+	CGO_ENABLED=1 go test -race ./...
+
+lint:
+	./.ci/lint
+
+generate:
+	cd internal/encoder && protoc --go_out=. --go_opt=paths=source_relative carobrock.proto
--- /dev/null
+++ b/internal/controller/query.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/keeper"
+)
+
+// upstreamRow is a worker as operators see it.
+type upstreamRow struct {
+	keeper.WorkerState
+	// SilentMillis is how long ago the last announcement came, -1 if none has
+	// come to the present leader.
+	SilentMillis int64 `json:"silentMillis"`
+}
+
+// taskRow is a task as operators see it.
+type taskRow struct {
+	carobrock.Task
+	// Waiting tells why a queued task is not placed.
+	Waiting string `json:"waiting,omitempty"`
+}
+
+// statusRow is an overview of the whole system.
+type statusRow struct {
+	Leader        string            `json:"leader"`
+	Term          uint64            `json:"term"`
+	Commit        uint64            `json:"commit"`
+	RoutesVersion uint64            `json:"routesVersion"`
+	PoolsVersion  uint64            `json:"poolsVersion"`
+	DanglingPools []string          `json:"danglingPools"`
+	Zones         []carobrock.Zone  `json:"zones"`
+	Workers       int               `json:"workers"`
+	Tasks         map[string]int    `json:"tasks"`
+	Gateways      []gatewayStateRow `json:"gateways"`
+}
+
+// lookUp answers a query from the local state.
+func (c *Controller) lookUp(q carobrock.Query) (any, error) {
+	switch q.What {
+	case "routes":
+		return c.Keeper.Routes(), nil
+	case "pools":
+		return c.Keeper.Pools(), nil
+	case "zones":
+		return c.Keeper.Zones(), nil
+	case "upstreams":
+		return c.upstreams(), nil
+	case "tasks":
+		return c.tasks(), nil
+	case "task":
+		t, ok := c.Keeper.Task(q.ID)
+		if !ok {
+			return nil, eris.Wrapf(carobrock.ErrNotFound, "there is no task %q", q.ID)
+		}
+		return taskRow{t, c.Scheduler.WhyWaiting(t.ID)}, nil
+	case "gateways":
+		return c.gateways.rows(c.GrantLease), nil
+	case "grants":
+		return c.Keeper.Grants(), nil
+	case "replicas":
+		return c.Replica.Status(), nil
+	case "status":
+		return c.status(), nil
+	default:
+		return nil, eris.Wrap(carobrock.ErrNotFound, fmt.Sprintf("there is no %q", q.What))
+	}
+}
+
+func (c *Controller) upstreams() []upstreamRow {
+	workers := c.Keeper.Workers()
+	out := make([]upstreamRow, len(workers))
+	for i, w := range workers {
+		out[i] = upstreamRow{w, -1}
+		if d, ok := c.Scheduler.Silence(w.Name); ok {
+			out[i].SilentMillis = d.Milliseconds()
+		}
+	}
+	return out
+}
+
+func (c *Controller) tasks() []taskRow {
+	tasks := c.Keeper.Tasks(func(*carobrock.Task) bool { return true })
+	out := make([]taskRow, len(tasks))
+	for i, t := range tasks {
+		out[i] = taskRow{t, c.Scheduler.WhyWaiting(t.ID)}
+	}
+	return out
+}
+
+func (c *Controller) status() statusRow {
+	s := c.Replica.Status()
+	row := statusRow{
+		Leader: s.Name, Term: s.Term, Commit: s.Commit, Zones: c.Keeper.Zones(), Tasks: map[string]int{},
+		RoutesVersion: c.Keeper.Routes().Version, PoolsVersion: c.Keeper.Pools().Version,
+		Workers: len(c.Keeper.Workers()), Gateways: c.gateways.rows(c.GrantLease), DanglingPools: c.danglingPools(),
+	}
+	c.Keeper.Tasks(func(t *carobrock.Task) bool {
+		row.Tasks[string(t.State)]++
+		return false
+	})
+	return row
+}
+
+// danglingPools returns the pool names that a route uses and that do not exist.
+func (c *Controller) danglingPools() []string {
+	known := map[string]bool{}
+	for _, p := range c.Keeper.Pools().Rows {
+		known[p.Name] = true
+	}
+	out := []string{}
+	for _, r := range c.Keeper.Routes().Rows {
+		if !known[r.Pool] {
+			known[r.Pool] = true
+			out = append(out, r.Pool)
+		}
+	}
+	return out
+}
+
+// State describes the replica for the dump, from its own state alone.
+func (c *Controller) State() any { return c.status() }
--- /dev/null
+++ b/internal/forwarder/connection.go
@@ -0,0 +1,155 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// countedConn is a connection to an upstream that counts what was written.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+	onClose func()
+	once    sync.Once
+}
+
+// Write implements net.Conn. It counts before it writes, so that a byte which
+// may have left is always counted.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.onClose)
+	return c.Conn.Close()
+}
+
+// errNoConnection: the upstream's connections are used up.
+var errNoConnection = eris.New("forwarder: no connection to the upstream is free")
+
+// Settings of connections to upstreams.
+const (
+	dialTimeout = time.Second
+	// idleTimeout is short: a firewall forgets idle connections first.
+	idleTimeout     = 15 * time.Second
+	keepAlivePeriod = 5 * time.Second
+	keepAliveProbes = 2
+	// userTimeoutMillis is how long sent bytes may go without acknowledgement.
+	userTimeoutMillis  = 5000
+	maxHeaderBytes     = 64 << 10
+	maxIdlePerUpstream = 64
+)
+
+// line is the set of connections to one upstream.
+type line struct {
+	transport *http.Transport
+	mu        sync.Mutex
+	open      int
+	limit     int
+}
+
+func newLine(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *line {
+	l := &line{}
+	l.transport = &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return l.dial(ctx, address, dial)
+		},
+		MaxIdleConns:           maxIdlePerUpstream,
+		MaxIdleConnsPerHost:    maxIdlePerUpstream,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		// The gateway has its own timeouts. Proxy settings of the environment
+		// do not apply to upstreams.
+		Proxy: nil,
+	}
+	return l
+}
+
+// dial opens a connection within the limit.
+func (l *line) dial(ctx context.Context, address string, dial func(context.Context, string, string) (net.Conn, error)) (net.Conn, error) {
+	if !l.reserve() {
+		l.transport.CloseIdleConnections()
+		if !l.reserve() {
+			return nil, errNoConnection
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		l.release()
+		return nil, err
+	}
+	return &countedConn{Conn: conn, onClose: l.release}, nil
+}
+
+func (l *line) reserve() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.limit {
+		return false
+	}
+	l.open++
+	return true
+}
+
+func (l *line) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+}
+
+// setLimit sets how many connections may be open; idle ones above it close.
+func (l *line) setLimit(n int) {
+	l.mu.Lock()
+	shrunk := l.open > n
+	l.limit = n
+	l.mu.Unlock()
+	if shrunk {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+func (l *line) openConnections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+func (l *line) isOverLimit() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open > l.limit
+}
+
+// dialUpstream is the default way to open a connection to an upstream. The
+// kernel closes it if sent bytes or keepalive probes go unanswered.
+func dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
+		},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var setErr error
+			err := c.Control(func(fd uintptr) {
+				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMillis)
+			})
+			if err != nil {
+				return err
+			}
+			return setErr
+		},
+	}
+	return d.DialContext(ctx, network, address)
+}
--- /dev/null
+++ b/internal/keeper/keys.go
@@ -0,0 +1,72 @@
+package keeper
+
+import "github.com/carobrock/carobrock"
+
+type keyRow struct {
+	Fingerprint string                    `json:"fingerprint"`
+	Owner       string                    `json:"owner"`
+	State       carobrock.KeyState        `json:"state"`
+	AtUnixSec   int64                     `json:"atUnixSec"`
+	Answer      *carobrock.RecordedAnswer `json:"answer,omitempty"`
+}
+
+// changeKeys claims, completes and releases idempotency keys.
+func (k *Keeper) changeKeys(c *carobrock.ClaimKeys, res *carobrock.Result) {
+	res.Keys = make([]carobrock.KeyResult, len(c.Changes))
+	for i := range c.Changes {
+		res.Keys[i] = k.changeKey(&c.Changes[i])
+	}
+}
+
+func (k *Keeper) changeKey(ch *carobrock.KeyChange) carobrock.KeyResult {
+	row := k.state.Keys[ch.Key]
+	switch ch.Action {
+	case carobrock.KeyActionClaim:
+		return k.claimKey(row, ch)
+	case carobrock.KeyActionComplete:
+		if row == nil || row.Owner != ch.Owner || row.State != carobrock.KeyClaimed {
+			return refusedKey(row)
+		}
+		row.State, row.Answer = carobrock.KeyDone, ch.Answer
+		return carobrock.KeyResult{Granted: true}
+	case carobrock.KeyActionRelease:
+		if row == nil || row.Owner != ch.Owner || row.State != carobrock.KeyClaimed {
+			return refusedKey(row)
+		}
+		delete(k.state.Keys, ch.Key)
+		return carobrock.KeyResult{Granted: true}
+	default:
+		return refusedKey(row)
+	}
+}
+
+// claimKey grants the key if it is free. A claim by its owner is idempotent.
+func (k *Keeper) claimKey(row *keyRow, ch *carobrock.KeyChange) carobrock.KeyResult {
+	if row == nil {
+		k.state.Keys[ch.Key] = &keyRow{
+			Fingerprint: ch.Fingerprint, Owner: ch.Owner, State: carobrock.KeyClaimed, AtUnixSec: ch.AtUnixSec,
+		}
+		return carobrock.KeyResult{Granted: true}
+	}
+	if row.Owner == ch.Owner && row.State == carobrock.KeyClaimed {
+		return carobrock.KeyResult{Granted: true}
+	}
+	res := refusedKey(row)
+	res.Mismatch = row.Fingerprint != ch.Fingerprint
+	return res
+}
+
+func refusedKey(row *keyRow) carobrock.KeyResult {
+	if row == nil {
+		return carobrock.KeyResult{}
+	}
+	return carobrock.KeyResult{State: row.State, Answer: row.Answer}
+}
+
+func (k *Keeper) expireKeys(c *carobrock.ExpireWindow) {
+	for key, row := range k.state.Keys {
+		if row.AtUnixSec < c.BeforeUnixSec {
+			delete(k.state.Keys, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/tables.go
@@ -0,0 +1,64 @@
+package keeper
+
+import (
+	"fmt"
+
+	"github.com/carobrock/carobrock"
+)
+
+// putTable replaces a table if its version is still the one that the change was
+// made from.
+func (k *Keeper) putTable(c *carobrock.PutTable, res *carobrock.Result) {
+	version := k.tableVersion(c.Table)
+	if version == nil {
+		refuse(res, carobrock.CodeNotFound, fmt.Sprintf("there is no table %q", c.Table))
+		return
+	}
+	res.Version = *version
+	if c.BaseVersion != *version {
+		refuse(res, carobrock.CodeConflict, fmt.Sprintf("%s: the change is based on version %d, the current one is %d", c.Table, c.BaseVersion, *version))
+		return
+	}
+	if err := k.replaceRows(c, res.Index); err != nil {
+		refuse(res, carobrock.CodeInvalid, err.Error())
+		return
+	}
+	*version++
+	res.Version = *version
+	k.touchView(res)
+}
+
+func (k *Keeper) tableVersion(t carobrock.Table) *uint64 {
+	switch t {
+	case carobrock.TableRoutes:
+		return &k.state.Routes.Version
+	case carobrock.TablePools:
+		return &k.state.Pools.Version
+	default:
+		return nil
+	}
+}
+
+func (k *Keeper) replaceRows(c *carobrock.PutTable, index uint64) error {
+	if c.Table == carobrock.TableRoutes {
+		if err := carobrock.CheckRoutes(c.Routes); err != nil {
+			return err
+		}
+		k.state.Routes.Rows, k.state.RoutesIndex = c.Routes, index
+		return nil
+	}
+	if err := carobrock.CheckPools(c.Pools); err != nil {
+		return err
+	}
+	k.state.Pools.Rows, k.state.PoolsIndex = c.Pools, index
+	return nil
+}
+
+func (k *Keeper) pool(name string) *carobrock.Pool {
+	for i := range k.state.Pools.Rows {
+		if k.state.Pools.Rows[i].Name == name {
+			return &k.state.Pools.Rows[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/launcher/control.go
@@ -0,0 +1,142 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/controller"
+	"github.com/carobrock/carobrock/internal/dumper"
+	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/journaler"
+	"github.com/carobrock/carobrock/internal/keeper"
+	"github.com/carobrock/carobrock/internal/messenger"
+	"github.com/carobrock/carobrock/internal/operator"
+	"github.com/carobrock/carobrock/internal/placer"
+	"github.com/carobrock/carobrock/internal/replicator"
+	"github.com/carobrock/carobrock/internal/scheduler"
+)
+
+// Control is a control replica that is ready to run.
+type Control struct {
+	controller *controller.Controller
+	operations net.Listener
+	handler    http.Handler
+	logger     zerolog.Logger
+}
+
+// orderConnections is how many idle connections to one worker are kept.
+const orderConnections = 2
+
+// NewControl opens what the settings name. It fails with ErrSettings and then
+// holds nothing open.
+func NewControl(s *ControlSettings, version string, logger zerolog.Logger) (*Control, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	tokens, err := s.tokens()
+	if err != nil {
+		return nil, err
+	}
+	initial, err := s.initial()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen("--listen", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	operations, err := listen("--operations", s.Operations)
+	if err != nil {
+		return nil, errors.Join(err, peers.Close())
+	}
+	c := newController(s, initial, peers, logger)
+	if err := c.Replica.Prepare(); err != nil {
+		return nil, errors.Join(eris.Wrapf(ErrSettings, "--dataDir %s: %v", s.DataDir, err), peers.Close(), operations.Close())
+	}
+	c.Prepare()
+	warnWithoutTokens(&tokens, logger)
+	handler := operationsHandler(c, tokens, logger, &dumper.Dumper{
+		Process: "control", Version: version, Started: time.Now(),
+		Parts: []dumper.Part{
+			{Name: "settings", State: func() any { return s }},
+			{Name: "replica", State: func() any { return c.Replica.Status() }},
+			{Name: "control", State: c.State},
+		},
+	})
+	return &Control{controller: c, operations: operations, handler: handler, logger: logger}, nil
+}
+
+func newController(s *ControlSettings, initial []*encoder.Member, peers net.Listener, logger zerolog.Logger) *controller.Controller {
+	k := &keeper.Keeper{}
+	k.Prepare()
+	ms := &messenger.Messenger{Listener: peers, Logger: logger}
+	return &controller.Controller{
+		Keeper: k, Messenger: ms, Logger: logger,
+		Replica: &replicator.Replica{
+			Name: s.Name, Address: peers.Addr().String(), Initial: initial, Machine: k, Link: ms, Logger: logger,
+			ElectionTimeout: s.ElectionTimeout, SnapshotEvery: s.SnapshotEvery,
+			Journal: &journaler.Journal{
+				Folder: &journaler.DiskFolder{Path: s.DataDir}, Name: s.Name,
+				NewIncarnation: func() uint64 { return rand.Uint64() | 1 },
+			},
+		},
+		Scheduler: &scheduler.Scheduler{
+			Placer: placer.FirstFit{}, Logger: logger,
+			Orders: &scheduler.HTTPOrders{Client: &http.Client{Transport: &http.Transport{
+				MaxIdleConnsPerHost: orderConnections, IdleConnTimeout: idleTimeout, Proxy: nil,
+			}}},
+		},
+	}
+}
+
+// idleTimeout is how long an idle connection to a worker is kept.
+const idleTimeout = 15 * time.Second
+
+func warnWithoutTokens(t *operator.Tokens, logger zerolog.Logger) {
+	if t.Operators == "" || t.Workers == "" || t.Monitoring == "" {
+		logger.Warn().Msg("operations: a role has no token file, everybody may act in it")
+	}
+}
+
+// operationsHandler serves the operations listener of a process.
+func operationsHandler(control carobrock.Control, tokens operator.Tokens, logger zerolog.Logger, d *dumper.Dumper) http.Handler {
+	r := httprouter.New()
+	ok := func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { w.WriteHeader(http.StatusOK) }
+	r.GET("/healthz", ok)
+	h := &operator.Handler{Control: control, Tokens: tokens, Logger: logger}
+	h.Routes(r)
+	d.Routes(r)
+	return r
+}
+
+// Run runs the replica until ctx ends or its disk fails.
+func (c *Control) Run(ctx context.Context) error {
+	c.logger.Info().Str("operations", c.operations.Addr().String()).Msg("control: started")
+	parts := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	parts.Go(c.controller.Run)
+	parts.Go(func(ctx context.Context) error { return serveHTTP(ctx, c.operations, c.handler) })
+	return parts.Wait()
+}
+
+const readHeaderTimeout = 5 * time.Second
+
+// serveHTTP serves a listener until ctx ends.
+func serveHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/launcher/gateway.go
@@ -0,0 +1,125 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carobrock/carobrock/internal/admitter"
+	"github.com/carobrock/carobrock/internal/dumper"
+	"github.com/carobrock/carobrock/internal/forwarder"
+	"github.com/carobrock/carobrock/internal/gatekeeper"
+	"github.com/carobrock/carobrock/internal/messenger"
+	"github.com/carobrock/carobrock/internal/relayer"
+	"github.com/carobrock/carobrock/internal/watcher"
+)
+
+// Gateway is a gateway that is ready to run.
+type Gateway struct {
+	gateway *gatekeeper.Gateway
+	logger  zerolog.Logger
+}
+
+// NewGateway opens what the settings name. It fails with ErrSettings and then
+// holds nothing open.
+func NewGateway(s *GatewaySettings, version string, logger zerolog.Logger) (*Gateway, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	tokens, err := s.tokens()
+	if err != nil {
+		return nil, err
+	}
+	callers, err := listen("--listen", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	operations, err := listen("--operations", s.Operations)
+	if err != nil {
+		return nil, errors.Join(err, callers.Close())
+	}
+	ms := &messenger.Messenger{Logger: logger}
+	control := &relayer.Relayer{Caller: ms, Replicas: s.Replicas}
+	g := newGateway(s, callers, operations, ms, control, logger)
+	g.Prepare()
+	warnWithoutTokens(&tokens, logger)
+	publish("requests", &g.Forwarder.Counts)
+	g.OperationsHandler = operationsHandler(control, tokens, logger, &dumper.Dumper{
+		Process: "gateway", Version: version, Started: time.Now(),
+		Parts: []dumper.Part{
+			{Name: "settings", State: func() any { return s }},
+			{Name: "gateway", State: func() any { return gatewayState(g) }},
+			{Name: "upstreams", State: func() any { return g.Forwarder.Admitter.State() }},
+		},
+	})
+	return &Gateway{gateway: g, logger: logger}, nil
+}
+
+func newGateway(s *GatewaySettings, callers, operations net.Listener, ms *messenger.Messenger, control *relayer.Relayer, logger zerolog.Logger) *gatekeeper.Gateway {
+	drainDelay := s.DrainDelay
+	if drainDelay == 0 {
+		drainDelay = -1
+	}
+	return &gatekeeper.Gateway{
+		Name: s.Name, Callers: callers, Operations: operations, Messenger: ms, DrainDelay: drainDelay, Logger: logger,
+		Watcher: &watcher.Watcher{
+			Gateway: s.Name, Incarnation: gatekeeper.NewID(), AvailabilityZone: s.AvailabilityZone,
+			Replicas: s.Replicas, StaleAfter: s.StaleAfter, Logger: logger,
+		},
+		Forwarder: &forwarder.Forwarder{
+			Admitter: &admitter.Admitter{MaxQueue: s.MaxQueue}, MaxBodyBytes: s.MaxBodyBytes, Logger: logger,
+			Keys: &forwarder.CommandKeys{Control: control},
+		},
+	}
+}
+
+// gatewayDump is the gateway's part of the dump.
+type gatewayDump struct {
+	State         string `json:"state"`
+	Index         uint64 `json:"index"`
+	RoutesVersion uint64 `json:"routesVersion"`
+	PoolsVersion  uint64 `json:"poolsVersion"`
+	GrantsVersion uint64 `json:"grantsVersion"`
+	Fresh         bool   `json:"fresh"`
+	HoldsGrants   bool   `json:"holdsGrants"`
+	InFlight      int    `json:"inFlight"`
+}
+
+func gatewayState(g *gatekeeper.Gateway) gatewayDump {
+	d := gatewayDump{
+		State: g.State(), Fresh: g.Watcher.IsFresh(), HoldsGrants: g.Watcher.HoldsGrants(), InFlight: g.Forwarder.Admitter.InFlight(),
+	}
+	if c := g.Watcher.Current(); c != nil {
+		d.Index, d.RoutesVersion, d.PoolsVersion, d.GrantsVersion = c.Index, c.RoutesVersion, c.PoolsVersion, c.GrantsVersion
+	}
+	return d
+}
+
+// publish makes the counts visible in expvar, once per process.
+func publish(name string, c *forwarder.Counts) {
+	if expvar.Get(name) != nil {
+		return
+	}
+	m := expvar.NewMap(name)
+	m.Set("answered", &c.Answered)
+	m.Set("notRun", &c.NotRun)
+	m.Set("unknown", &c.Unknown)
+	m.Set("aborted", &c.Aborted)
+	m.Set("retried", &c.Retried)
+}
+
+// Run runs the gateway until ctx ends and it has drained, or until cut is
+// closed.
+func (g *Gateway) Run(ctx context.Context, cut <-chan struct{}) error {
+	g.logger.Info().Str("callers", g.gateway.Callers.Addr().String()).
+		Str("operations", g.gateway.Operations.Addr().String()).Msg("gateway: started")
+	return g.gateway.Run(ctx, cut)
+}
+
+// Handler returns the callers' handler, for tests.
+func (g *Gateway) Handler() http.Handler { return g.gateway }
--- /dev/null
+++ b/internal/launcher/settings.go
@@ -0,0 +1,256 @@
+package launcher
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/operator"
+)
+
+// ErrSettings: a setting is not valid, or what it names cannot be used. Nothing
+// was changed.
+var ErrSettings = eris.New("launcher: bad settings")
+
+// TokenSettings name the files with the bearer tokens of the roles.
+type TokenSettings struct {
+	// OperatorTokenFile holds the operators' token.
+	OperatorTokenFile string `long:"operatorTokenFile" env:"CAROBROCK_OPERATOR_TOKEN_FILE" description:"file with the operators' bearer token (empty: no token needed)"`
+	// WorkerTokenFile holds the workers' token.
+	WorkerTokenFile string `long:"workerTokenFile" env:"CAROBROCK_WORKER_TOKEN_FILE" description:"file with the workers' bearer token (empty: no token needed)"`
+	// MonitoringTokenFile holds the monitoring group's token.
+	MonitoringTokenFile string `long:"monitoringTokenFile" env:"CAROBROCK_MONITORING_TOKEN_FILE" description:"file with the monitoring group's bearer token (empty: no token needed)"`
+}
+
+// ControlSettings are the settings of a control replica.
+type ControlSettings struct {
+	TokenSettings
+	// Name is the replica's name.
+	Name string `long:"name" env:"CAROBROCK_NAME" required:"true" description:"name of this replica, as in --members"`
+	// AvailabilityZone is where the replica runs.
+	AvailabilityZone string `long:"availabilityZone" env:"CAROBROCK_AVAILABILITY_ZONE" description:"availability zone of this VM"`
+	// Listen is the address for other processes of carobrock.
+	Listen string `long:"listen" env:"CAROBROCK_LISTEN" default:"127.0.0.1:7100" description:"IP:port for other carobrock processes"`
+	// Operations is the address for operators, workers and monitoring.
+	Operations string `long:"operations" env:"CAROBROCK_OPERATIONS" default:"127.0.0.1:7200" description:"IP:port for operators, workers and monitoring"`
+	// DataDir is the data folder.
+	DataDir string `long:"dataDir" env:"CAROBROCK_DATA_DIR" required:"true" description:"data folder of this replica"`
+	// Members lists the replicas that form the group.
+	Members []string `long:"members" env:"CAROBROCK_MEMBERS" env-delim:"," description:"NAME=IP:PORT of each replica that forms the group; not needed once it is formed"`
+	// ElectionTimeout is the shortest time without a leader before an election.
+	ElectionTimeout time.Duration `long:"electionTimeout" env:"CAROBROCK_ELECTION_TIMEOUT" default:"600ms" description:"shortest time without a leader before an election, 100ms to 1m"`
+	// SnapshotEvery is the number of log entries between snapshots.
+	SnapshotEvery uint64 `long:"snapshotEvery" env:"CAROBROCK_SNAPSHOT_EVERY" default:"5000" description:"log entries between snapshots"`
+}
+
+// GatewaySettings are the settings of a gateway.
+type GatewaySettings struct {
+	TokenSettings
+	// Name is the gateway's name.
+	Name string `long:"name" env:"CAROBROCK_NAME" required:"true" description:"name of this gateway"`
+	// AvailabilityZone is where the gateway runs.
+	AvailabilityZone string `long:"availabilityZone" env:"CAROBROCK_AVAILABILITY_ZONE" description:"availability zone of this VM"`
+	// Listen is the address for callers.
+	Listen string `long:"listen" env:"CAROBROCK_LISTEN" default:"127.0.0.1:8080" description:"IP:port for callers"`
+	// Operations is the address for operators, workers and monitoring.
+	Operations string `long:"operations" env:"CAROBROCK_OPERATIONS" default:"127.0.0.1:7300" description:"IP:port for operators, workers and monitoring"`
+	// Replicas are the control replicas.
+	Replicas []string `long:"replicas" env:"CAROBROCK_REPLICAS" env-delim:"," required:"true" description:"IP:port of each control replica"`
+	// StaleAfter is how long the configuration may go without confirmation.
+	StaleAfter time.Duration `long:"staleAfter" env:"CAROBROCK_STALE_AFTER" default:"5s" description:"time without confirmation after which requests are refused, 1s to 1m"`
+	// DrainDelay is how long new connections are served after SIGTERM.
+	DrainDelay time.Duration `long:"drainDelay" env:"CAROBROCK_DRAIN_DELAY" default:"2s" description:"time that new connections are still served after SIGTERM"`
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64 `long:"maxBodyBytes" env:"CAROBROCK_MAX_BODY_BYTES" default:"16777216" description:"largest request body in bytes"`
+	// MaxQueue bounds the requests that wait for one pool.
+	MaxQueue int `long:"maxQueue" env:"CAROBROCK_MAX_QUEUE" default:"1024" description:"most requests that wait for one pool"`
+}
+
+// WorkerSettings are the settings of an emulated worker.
+type WorkerSettings struct {
+	// Name is the worker's name.
+	Name string `long:"name" env:"CAROBROCK_NAME" required:"true" description:"name of this worker"`
+	// VM is the VM's name.
+	VM string `long:"vm" env:"CAROBROCK_VM" description:"name of the VM (default: the worker's name)"`
+	// AvailabilityZone is where the VM is.
+	AvailabilityZone string `long:"availabilityZone" env:"CAROBROCK_AVAILABILITY_ZONE" default:"az1" description:"availability zone of this VM"`
+	// Rack holds the VM.
+	Rack string `long:"rack" env:"CAROBROCK_RACK" description:"rack of this VM"`
+	// Listen is the address for task orders.
+	Listen string `long:"listen" env:"CAROBROCK_LISTEN" default:"127.0.0.1:0" description:"IP:port for task orders"`
+	// Service is the address of the service.
+	Service string `long:"service" env:"CAROBROCK_SERVICE" default:"127.0.0.1:0" description:"IP:port of the service"`
+	// Pool is the pool of the service.
+	Pool string `long:"pool" env:"CAROBROCK_POOL" description:"pool of the service (empty: no service)"`
+	// Slots and Connections are the service's limits.
+	Slots       int `long:"slots" env:"CAROBROCK_SLOTS" default:"8" description:"most requests at a time"`
+	Connections int `long:"connections" env:"CAROBROCK_CONNECTIONS" default:"64" description:"most connections"`
+	// ServiceTime is how long a request takes.
+	ServiceTime time.Duration `long:"serviceTime" env:"CAROBROCK_SERVICE_TIME" default:"2ms" description:"time that a request takes"`
+	// Cores, MemoryMB and Accelerators are the VM's capacity.
+	Cores        int64 `long:"cores" env:"CAROBROCK_CORES" default:"16" description:"cores of the VM"`
+	MemoryMB     int64 `long:"memoryMB" env:"CAROBROCK_MEMORY_MB" default:"65536" description:"memory of the VM in MB"`
+	Accelerators int64 `long:"accelerators" env:"CAROBROCK_ACCELERATORS" default:"0" description:"accelerators of the VM"`
+	// Announce lists where to announce.
+	Announce []string `long:"announce" env:"CAROBROCK_ANNOUNCE" env-delim:"," required:"true" description:"operations IP:port of gateways or replicas"`
+	// TokenFile holds the workers' token.
+	TokenFile string `long:"tokenFile" env:"CAROBROCK_TOKEN_FILE" description:"file with the workers' bearer token"`
+	// FailTasks makes every task fail.
+	FailTasks bool `long:"failTasks" env:"CAROBROCK_FAIL_TASKS" description:"fail every task"`
+}
+
+func bad(format string, args ...any) error {
+	return eris.Wrap(ErrSettings, fmt.Sprintf(format, args...))
+}
+
+// Check reports the first fault of the settings, or nil.
+func (s *ControlSettings) Check() error {
+	if err := carobrock.CheckName("--name", s.Name); err != nil {
+		return bad("%v", err)
+	}
+	if err := checkAddresses("--listen", s.Listen); err != nil {
+		return err
+	}
+	if err := checkAddresses("--operations", s.Operations); err != nil {
+		return err
+	}
+	if s.ElectionTimeout < 100*time.Millisecond || s.ElectionTimeout > time.Minute {
+		return bad("--electionTimeout %s is not in 100ms to 1m", s.ElectionTimeout)
+	}
+	if s.SnapshotEvery == 0 {
+		return bad("--snapshotEvery must be above 0")
+	}
+	_, err := s.initial()
+	return err
+}
+
+// initial returns the members that form the group.
+func (s *ControlSettings) initial() ([]*encoder.Member, error) {
+	var out []*encoder.Member
+	self := false
+	names := map[string]bool{}
+	for _, m := range s.Members {
+		name, address, ok := strings.Cut(m, "=")
+		if !ok || name == "" {
+			return nil, bad("--members %q is not NAME=IP:PORT", m)
+		}
+		if err := checkAddresses("--members", address); err != nil {
+			return nil, err
+		}
+		if names[name] {
+			return nil, bad("--members names %q twice", name)
+		}
+		names[name] = true
+		self = self || name == s.Name
+		out = append(out, &encoder.Member{Name: name, Address: address})
+	}
+	if len(out) > 0 && !self {
+		return nil, bad("--members does not name this replica, %q", s.Name)
+	}
+	return out, nil
+}
+
+// Check reports the first fault of the settings, or nil.
+func (s *GatewaySettings) Check() error {
+	if err := carobrock.CheckName("--name", s.Name); err != nil {
+		return bad("%v", err)
+	}
+	if err := checkAddresses("--listen", s.Listen); err != nil {
+		return err
+	}
+	if err := checkAddresses("--operations", s.Operations); err != nil {
+		return err
+	}
+	if err := checkAddresses("--replicas", s.Replicas...); err != nil {
+		return err
+	}
+	if s.StaleAfter < time.Second || s.StaleAfter > time.Minute {
+		return bad("--staleAfter %s is not in 1s to 1m", s.StaleAfter)
+	}
+	if s.DrainDelay < 0 || s.MaxBodyBytes <= 0 || s.MaxQueue <= 0 {
+		return bad("--drainDelay, --maxBodyBytes and --maxQueue cannot be negative or zero")
+	}
+	return nil
+}
+
+// Check reports the first fault of the settings, or nil.
+func (s *WorkerSettings) Check() error {
+	if err := carobrock.CheckName("--name", s.Name); err != nil {
+		return bad("%v", err)
+	}
+	if err := checkAddresses("--listen", s.Listen); err != nil {
+		return err
+	}
+	if err := checkAddresses("--service", s.Service); err != nil {
+		return err
+	}
+	if s.Cores < 0 || s.MemoryMB < 0 || s.Accelerators < 0 || s.Slots < 0 || s.Connections < 0 {
+		return bad("--cores, --memoryMB, --accelerators, --slots and --connections cannot be negative")
+	}
+	return checkAddresses("--announce", s.Announce...)
+}
+
+// checkAddresses reports the first address that is no IP number with a port.
+func checkAddresses(flag string, addresses ...string) error {
+	if len(addresses) == 0 {
+		return bad("%s is empty", flag)
+	}
+	for _, a := range addresses {
+		host, port, err := net.SplitHostPort(a)
+		if err != nil || net.ParseIP(host) == nil || port == "" {
+			return bad("%s %q is not IP:PORT", flag, a)
+		}
+	}
+	return nil
+}
+
+// tokens reads the token files.
+func (s *TokenSettings) tokens() (operator.Tokens, error) {
+	var t operator.Tokens
+	files := []struct {
+		file string
+		into *string
+	}{
+		{s.OperatorTokenFile, &t.Operators},
+		{s.WorkerTokenFile, &t.Workers},
+		{s.MonitoringTokenFile, &t.Monitoring},
+	}
+	for _, f := range files {
+		token, err := readToken(f.file)
+		if err != nil {
+			return t, err
+		}
+		*f.into = token
+	}
+	return t, nil
+}
+
+// readToken returns the token in a file, empty for no file.
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", bad("token file: %v", err)
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" {
+		return "", bad("token file %s is empty", file)
+	}
+	return token, nil
+}
+
+func listen(flag, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, bad("%s: %v", flag, err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/placer/firstfit.go
@@ -0,0 +1,39 @@
+package placer
+
+import "github.com/carobrock/carobrock"
+
+// FirstFit puts each task on the first worker that has room for its declared
+// size.
+type FirstFit struct{}
+
+var _ carobrock.Placer = FirstFit{}
+
+// Place implements carobrock.Placer.
+func (FirstFit) Place(v *carobrock.PlacementView) carobrock.Placement {
+	out := carobrock.Placement{}
+	workers := append([]carobrock.PlacementWorker(nil), v.Workers...)
+	for _, t := range v.Queued {
+		pool, ok := v.Pools[t.Pool]
+		if !ok {
+			out.Waiting = append(out.Waiting, carobrock.Waiting{Task: t.ID, Reason: "the pool does not exist"})
+			continue
+		}
+		if w := firstFit(t, &pool, workers, &out); w != nil {
+			w.Free = w.Free.Sub(t.Size)
+			out.Assignments = append(out.Assignments, carobrock.Assignment{Task: t.ID, Worker: w.Name})
+		}
+	}
+	return out
+}
+
+func firstFit(t *carobrock.Task, pool *carobrock.Pool, workers []carobrock.PlacementWorker, out *carobrock.Placement) *carobrock.PlacementWorker {
+	y := &tally{}
+	for i := range workers {
+		w := &workers[i]
+		if pool.Allows(&w.Worker) && y.add(t, w) {
+			return w
+		}
+	}
+	out.Waiting = append(out.Waiting, y.explain(t))
+	return nil
+}
