--- a/cmd/carobrock/common.go
+++ b/cmd/carobrock/common.go
@@ -15,7 +15,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
-	"github.com/carobrock/carobrock/internal/launcher"
 	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/pkg/client"
 )
@@ -29,7 +28,7 @@
 // that only classify it.
 func oneLine(err error) string {
 	text := strings.ReplaceAll(err.Error(), "\n", "; ")
-	for _, kind := range []error{launcher.ErrSettings, errUsage} {
+	for _, kind := range settingsErrors {
 		text = strings.TrimSuffix(text, ": "+kind.Error())
 	}
 	return text
--- a/cmd/carobrock/main.go
+++ b/cmd/carobrock/main.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/carobrock/carobrock/internal/launcher"
+	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/parser"
 )
 
@@ -72,8 +73,20 @@
 		return 0
 	}
 	fmt.Fprintln(os.Stderr, "carobrock:", oneLine(err))
-	if flagErr != nil || errors.Is(err, launcher.ErrSettings) || errors.Is(err, parser.ErrFile) || errors.Is(err, errUsage) {
+	if flagErr != nil || isSettingsError(err) {
 		return exitSettings
 	}
 	return exitFailed
 }
+
+// settingsErrors are the errors after which nothing was done.
+var settingsErrors = []error{launcher.ErrSettings, logger.ErrSettings, parser.ErrFile, errUsage}
+
+func isSettingsError(err error) bool {
+	for _, kind := range settingsErrors {
+		if errors.Is(err, kind) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -14,11 +14,11 @@
 
 // Errors of the package. After each of them nothing was sent to an upstream.
 var (
-	// ErrNoUpstream: the pool has no upstream that may get requests.
+	// ErrNoUpstream reports that the pool has no upstream that may get requests.
 	ErrNoUpstream = eris.New("admitter: the pool has no usable upstream")
-	// ErrQueueFull: too many requests wait for the pool.
+	// ErrQueueFull reports that too many requests wait for the pool.
 	ErrQueueFull = eris.New("admitter: the queue of the pool is full")
-	// ErrTooLate: the request cannot get a slot within its deadline.
+	// ErrTooLate reports that the request cannot get a slot within its deadline.
 	ErrTooLate = eris.New("admitter: no slot is free within the deadline")
 )
 
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -16,7 +16,7 @@
 	"github.com/carobrock/carobrock/charts"
 )
 
-// ErrBadChart: the chart is not well formed.
+// ErrBadChart reports that the chart is not well formed.
 var ErrBadChart = eris.New("charter: bad chart")
 
 // Chart is a checked state chart.
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -14,13 +14,13 @@
 
 // Errors of the package.
 var (
-	// ErrInUse: another process has the data folder.
+	// ErrInUse reports that another process has the data folder.
 	ErrInUse = eris.New("journaler: another process uses the data folder")
-	// ErrOtherReplica: the data folder belongs to another replica.
+	// ErrOtherReplica reports that the data folder belongs to another replica.
 	ErrOtherReplica = eris.New("journaler: the data folder belongs to another replica")
-	// ErrDamaged: a file was damaged other than by a crash.
+	// ErrDamaged reports that a file was damaged other than by a crash.
 	ErrDamaged = eris.New("journaler: the data folder is damaged")
-	// ErrDisk: the disk failed a read, a write or a sync.
+	// ErrDisk reports that the disk failed a read, a write or a sync.
 	ErrDisk = eris.New("journaler: the disk failed")
 
 	errFolderInUse = errors.New("folder is locked")
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -11,7 +11,7 @@
 	"github.com/carobrock/carobrock/internal/charter"
 )
 
-// ErrBadSnapshot: the bytes are no snapshot of this package.
+// ErrBadSnapshot reports that the bytes are no snapshot of this package.
 var ErrBadSnapshot = eris.New("keeper: bad snapshot")
 
 // Bounds of what is kept.
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -14,7 +14,7 @@
 	"github.com/carobrock/carobrock/internal/operator"
 )
 
-// ErrSettings: a setting is not valid, or what it names cannot be used. Nothing
+// ErrSettings reports that a setting is not valid, or what it names cannot be used. Nothing
 // was changed.
 var ErrSettings = eris.New("launcher: bad settings")
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -17,7 +17,7 @@
 	"github.com/carobrock/carobrock"
 )
 
-// ErrTarget: a target is not IP:PORT.
+// ErrTarget reports that a target is not IP:PORT.
 var ErrTarget = eris.New("loader: bad target")
 
 // Load says what load to make.
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -9,22 +9,25 @@
 	"github.com/rs/zerolog"
 )
 
-// ErrLevel: the level has no such name.
-var ErrLevel = eris.New("logger: unknown log level")
+// ErrSettings reports that a setting is not valid.
+var ErrSettings = eris.New("logger: bad settings")
 
 // Settings say how a process logs.
 type Settings struct {
 	// Level is debug, info, warn or error.
-	Level string `long:"logLevel" env:"CAROBROCK_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+	Level string `long:"logLevel" env:"CAROBROCK_LOG_LEVEL" default:"info" description:"least level that is logged: debug, info, warn or error"`
 	// Format is console or json.
-	Format string `long:"logFormat" env:"CAROBROCK_LOG_FORMAT" default:"console" choice:"console" choice:"json" description:"form of the log"`
+	Format string `long:"logFormat" env:"CAROBROCK_LOG_FORMAT" default:"console" description:"form of the log: console or json"`
 }
 
-// New returns a logger that writes to w. It fails with ErrLevel.
+// New returns a logger that writes to w. It fails with ErrSettings.
 func New(s *Settings, w io.Writer) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(s.Level)
-	if err != nil {
-		return zerolog.Nop(), eris.Wrap(ErrLevel, s.Level)
+	if err != nil || level == zerolog.NoLevel {
+		return zerolog.Nop(), eris.Wrapf(ErrSettings, "--logLevel %q is not debug, info, warn or error", s.Level)
+	}
+	if s.Format != "json" && s.Format != "console" {
+		return zerolog.Nop(), eris.Wrapf(ErrSettings, "--logFormat %q is not console or json", s.Format)
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	if s.Format != "json" {
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -11,7 +11,7 @@
 // maxFrameBytes bounds a frame; the largest is a snapshot.
 const maxFrameBytes = 256 << 20
 
-// ErrFrameTooLarge: the other side sent, or is about to be sent, a frame above
+// ErrFrameTooLarge reports that the other side sent, or is about to be sent, a frame above
 // the limit.
 var ErrFrameTooLarge = eris.New("messenger: frame too large")
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -19,9 +19,9 @@
 
 // Errors of the package.
 var (
-	// ErrNotSent: no byte of the call can have reached the other process.
+	// ErrNotSent reports that no byte of the call can have reached the other process.
 	ErrNotSent = eris.New("messenger: the call was not sent")
-	// ErrNoAnswer: the call may have been carried out.
+	// ErrNoAnswer reports that the call may have been carried out.
 	ErrNoAnswer = eris.New("messenger: no answer to the call")
 )
 
--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -15,7 +15,7 @@
 	"github.com/carobrock/carobrock"
 )
 
-// ErrFile: a file cannot be read or is not valid.
+// ErrFile reports that a file cannot be read or is not valid.
 var ErrFile = eris.New("parser: bad file")
 
 // FileError tells what is wrong with a file.
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -65,10 +65,10 @@
 	initial []*encoder.Member
 	seen    map[string]*encoder.Message
 
-	deadline    time.Time // of the election timeout
-	lastBeat    time.Time
-	votes       map[uint64]bool
-	preVoting   bool
+	deadline  time.Time // of the election timeout
+	lastBeat  time.Time
+	votes     map[uint64]bool
+	preVoting bool
 
 	// round numbers the leader's sends; roundSent holds when each not yet
 	// superseded one was sent.
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -15,18 +15,18 @@
 
 // Errors of the package.
 var (
-	// ErrNotLeader: this replica does not lead; nothing was done.
+	// ErrNotLeader reports that this replica does not lead; nothing was done.
 	ErrNotLeader = eris.New("replicator: this replica does not lead")
-	// ErrUnknown: leadership was lost before the command was committed, which
+	// ErrUnknown reports that leadership was lost before the command was committed, which
 	// may still happen.
 	ErrUnknown = eris.New("replicator: it is not known whether the command was committed")
-	// ErrStopped: the replica has stopped.
+	// ErrStopped reports that the replica has stopped.
 	ErrStopped = eris.New("replicator: the replica has stopped")
-	// ErrBusy: an earlier change of the membership is not committed yet.
+	// ErrBusy reports that an earlier change of the membership is not committed yet.
 	ErrBusy = eris.New("replicator: another change of the membership is going on")
-	// ErrNoMember: the membership has no such member.
+	// ErrNoMember reports that the membership has no such member.
 	ErrNoMember = eris.New("replicator: no such member")
-	// ErrNotFresh: the newcomer has held state before.
+	// ErrNotFresh reports that the newcomer has held state before.
 	ErrNotFresh = eris.New("replicator: the newcomer's data folder is not new")
 )
 
@@ -83,7 +83,6 @@
 	appliedTerm uint64
 	waiters     map[uint64]*proposal
 	pending     []*confirmation
-	reads       []*confirmation
 	snapshot    *encoder.Snapshot
 	lastRole    role
 	watch       appliedWatch
@@ -106,7 +105,6 @@
 // confirmation waits for a majority to answer a round that began after it.
 type confirmation struct {
 	round uint64
-	index uint64
 	done  chan confirmResult // has room for one
 }
 
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -15,7 +15,7 @@
 	"github.com/carobrock/carobrock"
 )
 
-// ErrOrder: an order was not carried out, or it is not known whether it was.
+// ErrOrder reports that an order was not carried out, or it is not known whether it was.
 var ErrOrder = eris.New("scheduler: the order was not confirmed")
 
 // Orders sends orders to workers. Every order is idempotent and fenced by the
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -14,7 +14,7 @@
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
-// ErrBadAnswer: a replica's answer makes no sense.
+// ErrBadAnswer reports that a replica's answer makes no sense.
 var ErrBadAnswer = eris.New("watcher: bad answer")
 
 // Caller calls other processes.
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -18,7 +18,7 @@
 	"github.com/carobrock/carobrock"
 )
 
-// ErrUnreachable: no address answered.
+// ErrUnreachable reports that no address answered.
 var ErrUnreachable = eris.New("client: no carobrock process can be reached")
 
 // StatusError is an answer that refuses the request.
