--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -64,6 +64,9 @@
 	// and address; seen holds who answered a probe, by address.
 	initial []*encoder.Member
 	seen    map[string]*encoder.Message
+	// addresses holds where members listen that the membership here does not
+	// name yet, by id.
+	addresses map[uint64]string
 
 	deadline  time.Time // of the election timeout
 	lastBeat  time.Time
@@ -173,6 +176,9 @@
 // step takes one message. Messages for another incarnation are dropped, but for
 // probes, which ask who is there.
 func (c *core) step(now time.Time, m *encoder.Message) {
+	if s := m.GetSender(); s != nil {
+		c.addresses[s.GetId()] = s.GetAddress()
+	}
 	if m.GetKind() == encoder.MessageKind_MESSAGE_KIND_PROBE {
 		c.onProbe(m)
 		return
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -193,12 +193,7 @@
 	if member := findMember(r.core.members, m.GetTo()); member != nil {
 		return member.GetAddress()
 	}
-	for _, seen := range r.core.seen {
-		if seen.GetSender().GetId() == m.GetTo() {
-			return seen.GetSender().GetAddress()
-		}
-	}
-	return ""
+	return r.core.addresses[m.GetTo()]
 }
 
 // apply hands the committed entries to the state machine and answers those who
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -125,7 +125,7 @@
 	c := &core{
 		self: self, election: r.ElectionTimeout, beat: r.HeartbeatInterval, drift: r.MaxDrift, rand: r.Rand,
 		term: state.HardState.GetTerm(), vote: state.HardState.GetVote(), role: roleFollower,
-		initial: r.Initial, seen: map[string]*encoder.Message{}, baseMembers: &encoder.Members{},
+		initial: r.Initial, seen: map[string]*encoder.Message{}, addresses: map[uint64]string{}, baseMembers: &encoder.Members{},
 	}
 	if s := state.Snapshot; s != nil {
 		if err := r.Machine.Restore(s.GetIndex(), s.GetData()); err != nil {
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -65,6 +65,7 @@
 		return
 	}
 	m := c.message(encoder.MessageKind_MESSAGE_KIND_APPEND, id)
+	m.Sender = c.introduction(p)
 	m.LogIndex, m.LogTerm, m.Round = prev, prevTerm, c.round
 	m.Commit = c.commit
 	if !p.inFlight {
@@ -75,6 +76,15 @@
 	c.early = append(c.early, m)
 }
 
+// introduction returns this replica, if the member may not know yet where to
+// send its answer.
+func (c *core) introduction(p *progress) *encoder.Member {
+	if p.match > 0 {
+		return nil
+	}
+	return c.self
+}
+
 // patience returns how long an answer may take before the message counts as
 // lost.
 func (c *core) patience(p *progress) time.Duration {
@@ -96,6 +106,7 @@
 		return
 	}
 	m := c.message(encoder.MessageKind_MESSAGE_KIND_SNAPSHOT, id)
+	m.Sender = c.introduction(p)
 	m.Round = c.round
 	p.inFlight, p.snapshot, p.sentAt = true, true, now
 	c.early = append(c.early, m)
