--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -169,7 +169,7 @@
 	r := &replicator.Replica{
 		Name: nd.name, Address: nd.address, Initial: nd.initial, Machine: k, Link: (*link)(nd),
 		Journal:         &journaler.Journal{Folder: nd.folder, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }},
-		ElectionTimeout: electionTimeout, SnapshotEvery: 50, Rand: rand.New(rand.NewPCG(seed, 1)), Logger: zerolog.Nop(),
+		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Logger: zerolog.Nop(),
 	}
 	if err := r.Prepare(); err != nil {
 		nd.c.t.Errorf("replica %s does not start: %v", nd.name, err)
--- a/internal/replicator/failure_test.go
+++ b/internal/replicator/failure_test.go
@@ -184,6 +184,11 @@
 		accept(t, c, 0)
 		old := c.leader()
 		c.isolate(old, true)
+		early, stop := context.WithTimeout(context.Background(), electionTimeout/2)
+		defer stop()
+		if _, err := old.replica.Confirm(early); err == nil {
+			t.Error("a read was confirmed without a majority")
+		}
 		time.Sleep(electionTimeout)
 		if left := old.replica.LeaseLeft(); left > 0 {
 			t.Errorf("the leader that is cut off holds a lease for %v more", left)
@@ -196,6 +201,9 @@
 		if _, err := old.replica.Confirm(ctx); err == nil {
 			t.Error("the leader that is cut off confirmed a read")
 		}
+		if role := old.replica.Status().Role; role == "leader" {
+			t.Error("a replica without a majority still calls itself the leader")
+		}
 		var others []*node
 		for _, nd := range c.nodes {
 			if nd != old {
@@ -295,3 +303,41 @@
 		t.Errorf("%v without a leader, the target is below 2 s", longest)
 	}
 }
+
+// TestReplaceWaitsForCatchUp: while the newcomer cannot be reached, the
+// replacement does not return.
+func TestReplaceWaitsForCatchUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6, 5)
+		defer c.stop()
+		for n := range 60 {
+			accept(t, c, n)
+		}
+		leader := c.leader()
+		lost := c.nodes[0]
+		if lost == leader {
+			lost = c.nodes[1]
+		}
+		lost.wipe()
+		lost.initial = nil
+		lost.start()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		returned := make(chan error, 1)
+		c.group.Go(func() { returned <- leader.replica.Replace(ctx, lost.name, lost.address) })
+		if err := waitFor(func() bool { return len(leader.replica.Status().Members) == 6 }); err != nil {
+			t.Fatal(err)
+		}
+		c.isolate(lost, true)
+		select {
+		case err := <-returned:
+			t.Errorf("the replacement returned (%v) while the newcomer was cut off", err)
+			return
+		case <-time.After(10 * time.Second):
+		}
+		c.isolate(lost, false)
+		if err := <-returned; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -256,9 +256,6 @@
 	r.pending = r.pending[n:]
 }
 
-// trailingEntries stay in memory behind a snapshot for members that lag.
-const trailingEntries = 2000
-
 // compact takes a snapshot if enough was applied since the last one.
 func (r *Replica) compact() error {
 	c := r.core
@@ -275,8 +272,8 @@
 		return err
 	}
 	r.snapshot = s
-	if s.GetIndex() > c.log.baseIndex+trailingEntries {
-		cut := s.GetIndex() - trailingEntries
+	if s.GetIndex() > c.log.baseIndex+r.TrailingEntries {
+		cut := s.GetIndex() - r.TrailingEntries
 		c.baseMembers = c.membersAt(cut)
 		c.log.cut(cut)
 	}
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -65,6 +65,9 @@
 	MaxDrift time.Duration
 	// SnapshotEvery is the number of entries between snapshots. Zero: 5000.
 	SnapshotEvery uint64
+	// TrailingEntries stay in memory behind a snapshot for members that lag.
+	// Zero: 2000.
+	TrailingEntries uint64
 	// Rand spreads the election timeouts. Nil: seeded at random.
 	Rand *rand.Rand
 	// Logger takes the log.
@@ -165,6 +168,9 @@
 	if r.SnapshotEvery == 0 {
 		r.SnapshotEvery = 5000
 	}
+	if r.TrailingEntries == 0 {
+		r.TrailingEntries = 2000
+	}
 	if r.Rand == nil {
 		r.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
