--- a/internal/watcher/tips.go
+++ b/internal/watcher/tips.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
 // tipTimeout bounds the question to one replica.
-const tipTimeout = time.Second
+const tipTimeout = 700 * time.Millisecond
 
 // askTips extends the confirmation while there is no leader. If a majority of
 // the voters see no leader and hold no entry, committed or not, that could
@@ -22,18 +23,22 @@
 		return
 	}
 	sent := time.Now()
+	tips := make([]*encoder.TipAnswer, len(w.Replicas))
+	group := conc.NewWaitGroup()
+	for i, address := range w.Replicas {
+		group.Go(func() { tips[i] = w.askTip(ctx, address) })
+	}
+	group.Wait()
 	agreed := map[uint64]bool{}
 	voters := 0
-	for _, address := range w.Replicas {
-		tip := w.askTip(ctx, address)
+	for _, tip := range tips {
 		if tip == nil || !tip.GetVoter() {
 			continue
 		}
 		voters = max(voters, int(tip.GetVoters()))
-		if tip.GetHasLeader() || tip.GetLastViewIndex() > w.model.index {
-			continue
+		if !tip.GetHasLeader() && tip.GetLastViewIndex() <= w.model.index {
+			agreed[tip.GetMember()] = true
 		}
-		agreed[tip.GetMember()] = true
 	}
 	if voters > 0 && len(agreed) > voters/2 {
 		w.confirm(sent, w.StaleAfter)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -68,7 +68,7 @@
 	DefaultStaleAfter = 5 * time.Second
 	defaultWait       = time.Second
 	// callSlack is what a call may take beyond the time that it asks to wait.
-	callSlack = 1500 * time.Millisecond
+	callSlack = 700 * time.Millisecond
 	// drainWaitMillis is the wait asked for before the first confirmation and
 	// while the gateway drains.
 	drainWaitMillis = 20
@@ -91,9 +91,11 @@
 func (w *Watcher) Current() *Catalog { return w.current.Load() }
 
 // IsFresh reports whether the catalog was confirmed within StaleAfter.
-func (w *Watcher) IsFresh() bool {
+func (w *Watcher) IsFresh() bool { return w.isConfirmedWithin(w.StaleAfter) }
+
+func (w *Watcher) isConfirmedWithin(d time.Duration) bool {
 	at := w.confirmed.Load()
-	return at != nil && time.Since(*at) < w.StaleAfter
+	return at != nil && time.Since(*at) < d
 }
 
 // HoldsGrants reports whether the lease of the gateway's grants is running.
@@ -117,7 +119,7 @@
 		}
 		w.Logger.Debug().Err(err).Str("replica", w.Replicas[w.replica]).Msg("watcher: sync failed")
 		w.replica = (w.replica + 1) % len(w.Replicas)
-		if !w.IsFresh() {
+		if !w.isConfirmedWithin(w.StaleAfter / 2) {
 			w.askTips(ctx)
 		}
 		w.pause(ctx, retryPause)
