Measure the control group: commits, time in force, start

Change: BenchmarkCommit, BenchmarkInForce and BenchmarkStart over real connections and real syncs in one process; the dump shows processor time, memory and bytes of the sessions.

--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,304 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/journaler"
+	"github.com/carobrock/carobrock/internal/keeper"
+	"github.com/carobrock/carobrock/internal/messenger"
+	"github.com/carobrock/carobrock/internal/placer"
+	"github.com/carobrock/carobrock/internal/replicator"
+	"github.com/carobrock/carobrock/internal/scheduler"
+	"github.com/carobrock/carobrock/internal/watcher"
+)
+
+// noOrders reaches no worker.
+type noOrders struct{}
+
+func (noOrders) Start(context.Context, string, *carobrock.StartOrder) error     { return nil }
+func (noOrders) Checkpoint(context.Context, string, carobrock.AttemptRef) error { return nil }
+func (noOrders) Stop(_ context.Context, _ string, _ carobrock.AttemptRef) error { return nil }
+
+// group is a control group in one process, over real connections and disks.
+type group struct {
+	controllers []*Controller
+	addresses   []string
+	cancels     []context.CancelFunc
+	running     *conc.WaitGroup
+}
+
+// startGroup starts n replicas and waits for a leader.
+func startGroup(tb testing.TB, n int) *group {
+	tb.Helper()
+	g := &group{running: conc.NewWaitGroup()}
+	dir := tb.TempDir()
+	var initial []*encoder.Member
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		g.addresses = append(g.addresses, l.Addr().String())
+		initial = append(initial, &encoder.Member{Name: fmt.Sprintf("c%d", i), Address: l.Addr().String()})
+	}
+	for i := range n {
+		c := newTestController(tb, initial, i, listeners[i], filepath.Join(dir, initial[i].GetName()))
+		ctx, cancel := context.WithCancel(context.Background())
+		g.controllers, g.cancels = append(g.controllers, c), append(g.cancels, cancel)
+		g.running.Go(func() { _ = c.Run(ctx) })
+	}
+	tb.Cleanup(func() {
+		for _, cancel := range g.cancels {
+			cancel()
+		}
+		g.running.Wait()
+	})
+	g.leader(tb)
+	return g
+}
+
+func newTestController(tb testing.TB, initial []*encoder.Member, i int, l net.Listener, dir string) *Controller {
+	tb.Helper()
+	k := &keeper.Keeper{}
+	k.Prepare()
+	ms := &messenger.Messenger{Listener: l, Logger: zerolog.Nop()}
+	name := initial[i].GetName()
+	c := &Controller{
+		Keeper: k, Messenger: ms, Logger: zerolog.Nop(),
+		Scheduler: &scheduler.Scheduler{Placer: placer.FirstFit{}, Orders: noOrders{}, Logger: zerolog.Nop()},
+		Replica: &replicator.Replica{
+			Name: name, Address: initial[i].GetAddress(), Initial: initial, Machine: k, Link: ms, ElectionTimeout: 600 * time.Millisecond,
+			Journal: &journaler.Journal{
+				Folder: &journaler.DiskFolder{Path: dir}, Name: name, NewIncarnation: func() uint64 { return uint64(i) + 1 },
+			},
+			Logger: zerolog.Nop(),
+		},
+	}
+	if err := c.Replica.Prepare(); err != nil {
+		tb.Fatal(err)
+	}
+	c.Prepare()
+	return c
+}
+
+func (g *group) leader(tb testing.TB) *Controller {
+	tb.Helper()
+	for range 1000 {
+		for _, c := range g.controllers {
+			if c.LeaseLeft() > 0 {
+				return c
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	tb.Fatal("no leader")
+	return nil
+}
+
+// startWatchers starts gateways' views of the group.
+func (g *group) startWatchers(tb testing.TB, n int) []*watcher.Watcher {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	running := conc.NewWaitGroup()
+	var out []*watcher.Watcher
+	for i := range n {
+		ms := &messenger.Messenger{Logger: zerolog.Nop()}
+		ms.Prepare()
+		replicas := slices.Concat(g.addresses[i%len(g.addresses):], g.addresses[:i%len(g.addresses)])
+		w := &watcher.Watcher{Gateway: fmt.Sprintf("g%d", i), Incarnation: "1", Replicas: replicas, Caller: ms, Logger: zerolog.Nop()}
+		w.Prepare()
+		running.Go(func() { _ = ms.Run(ctx) })
+		running.Go(func() { _ = w.Run(ctx) })
+		out = append(out, w)
+	}
+	tb.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for _, w := range out {
+		for !w.IsFresh() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return out
+}
+
+func putPools(ctx context.Context, c carobrock.Control, base uint64) (*carobrock.Result, error) {
+	return c.Propose(ctx, &carobrock.Command{
+		ChangeID: fmt.Sprint("change", base), PutTable: &carobrock.PutTable{
+			Table: carobrock.TablePools, BaseVersion: base, Pools: []carobrock.Pool{{Name: "logbook"}},
+		},
+	})
+}
+
+// TestChangeReachesEveryGateway makes changes through every replica in turn and
+// waits for 11 gateways to serve each.
+func TestChangeReachesEveryGateway(t *testing.T) {
+	g := startGroup(t, 3)
+	watchers := g.startWatchers(t, 11)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for n := range uint64(12) {
+		res, err := putPools(ctx, g.controllers[n%3], n)
+		if err != nil || res.Code != "" || res.Version != n+1 {
+			t.Fatalf("change %d: %+v, %v", n, res, err)
+		}
+		for _, w := range watchers {
+			for w.Current().PoolsVersion < n+1 {
+				if ctx.Err() != nil {
+					t.Fatalf("gateway %s does not serve version %d", w.Gateway, n+1)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+}
+
+// percentile returns the value below which a share of the durations lies.
+func percentile(d []time.Duration, share float64) time.Duration {
+	slices.Sort(d)
+	return d[min(len(d)-1, int(share*float64(len(d))))]
+}
+
+// BenchmarkCommit measures changes through the leader with real syncs, one at a
+// time and 64 at a time.
+func BenchmarkCommit(b *testing.B) {
+	for _, replicas := range []int{3, 5} {
+		for _, concurrent := range []int{1, 64} {
+			b.Run(fmt.Sprintf("replicas=%d/concurrent=%d", replicas, concurrent), func(b *testing.B) {
+				benchmarkCommit(b, replicas, concurrent)
+			})
+		}
+	}
+}
+
+func benchmarkCommit(b *testing.B, replicas, concurrent int) {
+	g := startGroup(b, replicas)
+	leader := g.leader(b).local()
+	var mu sync.Mutex
+	var took []time.Duration
+	next := make(chan int, concurrent)
+	workers := conc.NewWaitGroup()
+	for range concurrent {
+		workers.Go(func() {
+			for n := range next {
+				start := time.Now()
+				_, err := leader.Propose(context.Background(), &carobrock.Command{
+					ChangeID: fmt.Sprint("b", n), PutVerdicts: &carobrock.PutVerdicts{Verdicts: []carobrock.Verdict{{VM: "vm", Sequence: uint64(n)}}},
+				})
+				if err != nil {
+					b.Error(err)
+				}
+				mu.Lock()
+				took = append(took, time.Since(start))
+				mu.Unlock()
+			}
+		})
+	}
+	b.ResetTimer()
+	for n := range b.N {
+		next <- n
+	}
+	close(next)
+	workers.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+	b.ReportMetric(float64(percentile(took, 0.5).Microseconds()), "p50-us")
+	b.ReportMetric(float64(percentile(took, 0.99).Microseconds()), "p99-us")
+}
+
+// BenchmarkInForce measures from the acceptance of a change until 11 gateways
+// serve it.
+func BenchmarkInForce(b *testing.B) {
+	g := startGroup(b, 3)
+	watchers := g.startWatchers(b, 11)
+	leader := g.leader(b).local()
+	var took []time.Duration
+	base := uint64(0)
+	b.ResetTimer()
+	for range b.N {
+		if _, err := putPools(context.Background(), leader, base); err != nil {
+			b.Fatal(err)
+		}
+		base++
+		start := time.Now()
+		for _, w := range watchers {
+			for w.Current().PoolsVersion < base {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		took = append(took, time.Since(start))
+		time.Sleep(20 * time.Millisecond)
+	}
+	b.ReportMetric(float64(percentile(took, 0.5).Microseconds()), "p50-us")
+	b.ReportMetric(float64(percentile(took, 0.99).Microseconds()), "p99-us")
+}
+
+// BenchmarkStart measures the start of a replica with 10,000 changes behind it.
+func BenchmarkStart(b *testing.B) {
+	dir := b.TempDir()
+	open := func() (*replicator.Replica, *keeper.Keeper) {
+		k := &keeper.Keeper{}
+		k.Prepare()
+		r := &replicator.Replica{
+			Name: "c0", Address: "c0", Initial: []*encoder.Member{{Name: "c0", Address: "c0"}}, Machine: k, Logger: zerolog.Nop(),
+			Journal: &journaler.Journal{
+				Folder: &journaler.DiskFolder{Path: dir}, Name: "c0", NewIncarnation: func() uint64 { return 1 },
+			},
+		}
+		if err := r.Prepare(); err != nil {
+			b.Fatal(err)
+		}
+		return r, k
+	}
+	run := func(until func(r *replicator.Replica)) {
+		r, _ := open()
+		ctx, cancel := context.WithCancel(context.Background())
+		group := conc.NewWaitGroup()
+		group.Go(func() { _ = r.Run(ctx) })
+		until(r)
+		cancel()
+		group.Wait()
+	}
+	const changes = 10_000
+	run(func(r *replicator.Replica) {
+		group := conc.NewWaitGroup()
+		for w := range 64 {
+			group.Go(func() {
+				for n := w; n < changes; n += 64 {
+					c := &carobrock.Command{ChangeID: fmt.Sprint("c", n), SubmitTask: &carobrock.SubmitTask{Spec: carobrock.TaskSpec{ID: fmt.Sprint("t", n), Pool: "p"}}}
+					data, _ := c.Encode()
+					for {
+						if _, err := r.Propose(context.Background(), data); err == nil {
+							break
+						}
+						time.Sleep(time.Millisecond)
+					}
+				}
+			})
+		}
+		group.Wait()
+	})
+	b.ResetTimer()
+	for b.Loop() {
+		run(func(r *replicator.Replica) {
+			if err := r.WaitApplied(context.Background(), changes); err != nil {
+				b.Fatal(err)
+			}
+		})
+	}
+}
--- a/internal/dumper/dumper.go
+++ b/internal/dumper/dumper.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/pprof"
 	"runtime"
+	"syscall"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -40,6 +41,20 @@
 	UptimeMillis int64  `json:"uptimeMillis"`
 	Goroutines   int    `json:"goroutines"`
 	HeapBytes    uint64 `json:"heapBytes"`
+	// CPUMicros is the processor time used so far.
+	CPUMicros int64 `json:"cpuMicros"`
+	// MaxResidentKB is the highest resident memory so far.
+	MaxResidentKB int64 `json:"maxResidentKB"`
+}
+
+// addUsage adds what the kernel counted for the process.
+func (h *header) addUsage() {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return
+	}
+	h.CPUMicros = (u.Utime.Nano() + u.Stime.Nano()) / int64(time.Microsecond)
+	h.MaxResidentKB = u.Maxrss
 }
 
 // Routes adds the dump, the metrics and the profiles to a router.
@@ -63,10 +78,12 @@
 func (d *Dumper) write(w http.ResponseWriter) {
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
-	out := map[string]any{"header": header{
+	h := header{
 		Process: d.Process, Version: d.Version, UptimeMillis: time.Since(d.Started).Milliseconds(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
-	}}
+	}
+	h.addUsage()
+	out := map[string]any{"header": h}
 	for _, p := range d.Parts {
 		out[p.Name] = p.State()
 	}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -70,6 +70,7 @@
 		Parts: []dumper.Part{
 			{Name: "settings", State: func() any { return s }},
 			{Name: "replica", State: func() any { return c.Replica.Status() }},
+			{Name: "traffic", State: func() any { return c.Messenger.Traffic.Counts() }},
 			{Name: "control", State: c.State},
 		},
 	})
--- a/internal/launcher/gateway.go
+++ b/internal/launcher/gateway.go
@@ -54,6 +54,7 @@
 		Parts: []dumper.Part{
 			{Name: "settings", State: func() any { return s }},
 			{Name: "gateway", State: func() any { return gatewayState(g) }},
+			{Name: "traffic", State: func() any { return ms.Traffic.Counts() }},
 			{Name: "upstreams", State: func() any { return g.Forwarder.Admitter.State() }},
 		},
 	})
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -64,6 +64,8 @@
 	PingTimeout time.Duration
 	// Logger takes the log.
 	Logger zerolog.Logger
+	// Traffic counts the bytes of all sessions.
+	Traffic Traffic
 
 	mu     sync.Mutex
 	peers  map[string]*peer
@@ -150,7 +152,7 @@
 }
 
 func (ms *Messenger) serveConn(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, ms.sessionConfig())
+	session, err := yamux.Server(ms.Traffic.count(conn), ms.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "cannot connect to %s: %v", address, err)
 	}
-	session, err := yamux.Client(conn, ms.sessionConfig())
+	session, err := yamux.Client(ms.Traffic.count(conn), ms.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrapf(ErrNotSent, "cannot open a session with %s: %v", address, err)
