--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -61,9 +61,9 @@
 }
 
 type waiter struct {
-	exclude string
-	slot    chan *Slot // has room for one
-	done    bool
+	exclude  string
+	deadline time.Time  // zero: none
+	slot     chan *Slot // has room for one; nil means that it is too late
 }
 
 // Slot is the right to send one request to one upstream. Release must be called
@@ -153,6 +153,9 @@
 	}
 	select {
 	case slot := <-w.slot:
+		if slot == nil {
+			return nil, ErrTooLate
+		}
 		return slot, nil
 	case <-ctx.Done():
 		return nil, a.leave(ctx, p, w)
@@ -176,10 +179,11 @@
 	if p.waiting.Len() >= a.maxQueue() {
 		return nil, nil, nil, ErrQueueFull
 	}
-	if deadline, ok := ctx.Deadline(); ok && p.isHopeless(now, deadline) {
+	w := &waiter{exclude: exclude, slot: make(chan *Slot, 1)}
+	w.deadline, _ = ctx.Deadline()
+	if p.isHopeless(now, w.deadline) {
 		return nil, nil, nil, ErrTooLate
 	}
-	w := &waiter{exclude: exclude, slot: make(chan *Slot, 1)}
 	p.waiting.PushBack(w)
 	return nil, w, p, nil
 }
@@ -195,14 +199,13 @@
 // now is not expected to get a slot before its deadline.
 func (p *pool) isHopeless(now, deadline time.Time) bool {
 	wait := time.Duration(p.waiting.Len()+1) * p.interval
-	return p.interval > 0 && now.Add(wait).After(deadline)
+	return p.interval > 0 && !deadline.IsZero() && now.Add(wait).After(deadline)
 }
 
 // leave takes w out of the queue. A slot that was handed over meanwhile goes
 // back unused.
 func (a *Admitter) leave(ctx context.Context, p *pool, w *waiter) error {
 	a.mu.Lock()
-	w.done = true
 	for e := p.waiting.Front(); e != nil; e = e.Next() {
 		if e.Value == w {
 			p.waiting.Remove(e)
@@ -212,7 +215,9 @@
 	a.mu.Unlock()
 	select {
 	case slot := <-w.slot:
-		slot.Release(ResultUnused)
+		if slot != nil {
+			slot.Release(ResultUnused)
+		}
 	default:
 	}
 	if ctx.Err() == context.DeadlineExceeded {
@@ -292,10 +297,20 @@
 			return
 		}
 		p.waiting.Remove(front)
+		if w.isTooLate(u, now) {
+			w.slot <- nil
+			continue
+		}
 		w.slot <- a.take(p, u, probe, now)
 	}
 }
 
+// isTooLate reports whether the upstream is not expected to answer before the
+// deadline. A request that is sent all the same would end undecided.
+func (w *waiter) isTooLate(u *upstream, now time.Time) bool {
+	return !w.deadline.IsZero() && now.Add(u.health.latency).After(w.deadline)
+}
+
 // Release gives the slot back and tells how the request went.
 func (s *Slot) Release(result Result) {
 	a := s.a
