--- /dev/null
+++ b/internal/charter/charter_test.go
@@ -0,0 +1,58 @@
+package charter
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/carobrock/carobrock/charts"
+)
+
+// All embedded charts are well formed.
+func TestEmbeddedCharts(t *testing.T) {
+	entries, err := charts.Files.ReadDir(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		if _, err := Load(e.Name()); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestParseRefuses(t *testing.T) {
+	const good = `
+name: door
+initial: shut
+events: [open, close]
+states:
+  - name: shut
+    on: [{event: open, to: ajar}]
+    ignore: [close]
+  - name: ajar
+    on: [{event: close, to: shut}]
+    ignore: [open]
+`
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ name, old, with, want string }{
+		{"unknown field", "name: door", "nam: door", "unknown field"},
+		{"no initial state", "initial: shut", "initial: gone", "no initial state"},
+		{"unknown target", "to: ajar", "to: gone", "unknown state"},
+		{"unknown event", "event: open", "event: lift", "unknown event"},
+		{"event not handled", "    ignore: [close]\n", "", "handles 1 of 2 events"},
+		{"event twice", "ignore: [close]", "ignore: [close, open]", "twice"},
+		{"state twice", "- name: ajar", "- name: shut", "stands twice"},
+		{"state not reached", "to: ajar", "to: shut", "cannot be reached"},
+		{"final state with events", "- name: ajar", "- name: ajar\n    final: true", "handles events"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(good, tt.old, tt.with, 1)))
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("error %v, want one with %q", err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -67,3 +67,9 @@
 		w.open.Add(-1)
 	}
 }
+
+// Most returns the most requests and the most connections that the service had
+// at a time.
+func (w *Worker) Most() (requests, connections int64) {
+	return w.maxInFlight.Load(), w.maxOpen.Load()
+}
--- /dev/null
+++ b/internal/granter/granter_test.go
@@ -0,0 +1,197 @@
+package granter
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/carobrock/carobrock"
+)
+
+// TestMain fixes the seed of rapid, so that every run makes the same checks.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestSplit(t *testing.T) {
+	for _, slots := range []int{0, 1, 7, 8, 9, 64} {
+		for _, n := range []int{1, 2, 3, 9, 11} {
+			sums := make([]int, n)
+			for upstream := range n {
+				total, least, most := 0, slots, 0
+				for j, share := range split(slots, n, upstream) {
+					total += share
+					sums[j] += share
+					least, most = min(least, share), max(most, share)
+				}
+				if total != slots || most-least > 1 {
+					t.Errorf("split(%d, %d, %d): sum %d, shares %d to %d", slots, n, upstream, total, least, most)
+				}
+			}
+			for j := range sums {
+				if sums[j] != slots {
+					t.Errorf("%d slots over %d upstreams give gateway %d of %d %d slots, want %d", slots, n, j, n, sums[j], slots)
+				}
+			}
+		}
+	}
+}
+
+// gatewayModel is a gateway that uses all that it was ever told that it may,
+// until it has taken note of less and says so.
+type gatewayModel struct {
+	Gateway
+	gone bool
+	// known is the version that the gateway has, using what it granted.
+	known uint64
+	using map[string]carobrock.Grant
+}
+
+type machine struct {
+	services []carobrock.Service
+	table    carobrock.GrantTable
+	gateways []*gatewayModel
+	next     int
+}
+
+func (m *machine) plan() {
+	in := &Input{Current: m.table, Services: m.services}
+	for _, g := range m.gateways {
+		in.Gateways = append(in.Gateways, g.Gateway)
+	}
+	m.table = carobrock.GrantTable{Version: m.table.Version + 1, Rows: Plan(in)}
+}
+
+// learn gives a gateway the present grants.
+func (m *machine) learn(g *gatewayModel) {
+	g.known, g.using = m.table.Version, map[string]carobrock.Grant{}
+	for _, row := range m.table.Rows {
+		if row.Gateway == g.Name {
+			g.using[row.Upstream] = row
+		}
+	}
+}
+
+// check is the invariant: what all gateways may be using together never exceeds
+// the limits of an upstream.
+func (m *machine) check(t *rapid.T) {
+	for _, s := range m.services {
+		slots, connections := 0, 0
+		for _, g := range m.gateways {
+			if !g.gone {
+				slots += g.using[s.Address].Slots
+				connections += g.using[s.Address].Connections
+			}
+		}
+		if slots > s.Slots || connections > s.Connections {
+			t.Fatalf("%s: %d slots and %d connections are used, the limits are %d and %d", s.Address, slots, connections, s.Slots, s.Connections)
+		}
+	}
+}
+
+func (m *machine) pick(t *rapid.T) *gatewayModel {
+	var here []*gatewayModel
+	for _, g := range m.gateways {
+		if !g.gone {
+			here = append(here, g)
+		}
+	}
+	if len(here) == 0 {
+		t.Skip("no gateway")
+	}
+	return rapid.SampledFrom(here).Draw(t, "gateway")
+}
+
+// TestNeverGrantedTwice lets gateways join, drain, die, learn and settle in any
+// order.
+func TestNeverGrantedTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{}
+		for i := range rapid.IntRange(1, 4).Draw(t, "services") {
+			slots := rapid.IntRange(1, 9).Draw(t, "slots")
+			m.services = append(m.services, carobrock.Service{
+				Address: fmt.Sprint("u", i), Slots: slots, Connections: rapid.IntRange(slots, 64).Draw(t, "connections"),
+			})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"join": func(t *rapid.T) {
+				if len(m.gateways) >= 11 {
+					t.Skip("enough gateways")
+				}
+				m.next++
+				m.gateways = append(m.gateways, &gatewayModel{Gateway: Gateway{Name: fmt.Sprint("g", m.next), Incarnation: "1", Live: true}})
+			},
+			"learn":       func(t *rapid.T) { m.learn(m.pick(t)) },
+			"settle":      func(t *rapid.T) { g := m.pick(t); g.Settled = g.known },
+			"fall silent": func(t *rapid.T) { m.pick(t).Live = false },
+			"come back":   func(t *rapid.T) { m.pick(t).Live = true },
+			"expire": func(t *rapid.T) {
+				g := m.pick(t)
+				g.Live, g.Expired, g.gone = false, true, true
+			},
+			"plan": func(*rapid.T) { m.plan() },
+			"":     m.check,
+		})
+		m.converge(t)
+	})
+}
+
+// converge lets everybody learn and settle; then every slot is granted, and
+// shares differ by at most one.
+func (m *machine) converge(t *rapid.T) {
+	live := 0
+	for _, g := range m.gateways {
+		if g.Live {
+			live++
+		}
+	}
+	for range 4 {
+		for _, g := range m.gateways {
+			if !g.gone {
+				m.learn(g)
+				g.Settled = g.known
+			}
+		}
+		m.plan()
+		m.check(t)
+	}
+	if live == 0 {
+		return
+	}
+	for _, s := range m.services {
+		total := 0
+		for _, row := range m.table.Rows {
+			if row.Upstream == s.Address {
+				total += row.Slots
+			}
+		}
+		if total != s.Slots {
+			t.Fatalf("%s: %d of %d slots are granted to %d live gateways", s.Address, total, s.Slots, live)
+		}
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, workers := range []int{50, 440} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			in := &Input{}
+			for i := range workers {
+				in.Services = append(in.Services, carobrock.Service{Address: fmt.Sprint("u", i), Slots: 8, Connections: 64})
+			}
+			for i := range 11 {
+				in.Gateways = append(in.Gateways, Gateway{Name: fmt.Sprint("g", i), Live: true})
+			}
+			in.Current.Rows = Plan(in)
+			for b.Loop() {
+				Plan(in)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,321 @@
+package keeper
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/carobrock/carobrock"
+)
+
+// TestMain fixes the seed of rapid, so that every run makes the same checks.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func newKeeper() *Keeper {
+	k := &Keeper{}
+	k.Prepare()
+	return k
+}
+
+// applier applies commands at rising indices.
+type applier struct {
+	k     *Keeper
+	index uint64
+}
+
+func (a *applier) apply(c *carobrock.Command) *carobrock.Result {
+	a.index++
+	data, err := c.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return a.k.Apply(a.index, data).(*carobrock.Result)
+}
+
+func putRoutes(id string, base uint64, names ...string) *carobrock.Command {
+	c := &carobrock.Command{ChangeID: id, PutTable: &carobrock.PutTable{Table: carobrock.TableRoutes, BaseVersion: base}}
+	for _, n := range names {
+		c.PutTable.Routes = append(c.PutTable.Routes, carobrock.Route{Name: n, PathPrefix: "/" + n, Pool: "p"})
+	}
+	return c
+}
+
+// TestTableChanges: operators who race with equal versions and resend.
+func TestTableChanges(t *testing.T) {
+	a := &applier{k: newKeeper()}
+	steps := []struct {
+		name    string
+		c       *carobrock.Command
+		code    carobrock.ResultCode
+		version uint64
+		rows    string // name of the first route in force afterwards
+	}{
+		{"first", putRoutes("c1", 0, "a"), "", 1, "a"},
+		{"resend of the first", putRoutes("c1", 0, "a"), "", 1, "a"},
+		{"racer with the same version", putRoutes("c2", 0, "b"), carobrock.CodeConflict, 1, "a"},
+		{"resend of the racer", putRoutes("c2", 0, "b"), carobrock.CodeConflict, 1, "a"},
+		{"racer again, on the new version", putRoutes("c3", 1, "b"), "", 2, "b"},
+		{"late resend of the first", putRoutes("c1", 0, "a"), "", 1, "b"},
+		{"change ID used for another change", putRoutes("c3", 2, "c"), carobrock.CodeInvalid, 0, "b"},
+		{"version from the future", putRoutes("c4", 9, "c"), carobrock.CodeConflict, 2, "b"},
+		{"name twice", putRoutes("c5", 2, "c", "c"), carobrock.CodeInvalid, 2, "b"},
+		{"no change ID", putRoutes("", 2, "c"), "", 3, "c"},
+	}
+	for _, s := range steps {
+		res := a.apply(s.c)
+		if res.Code != s.code || res.Version != s.version {
+			t.Errorf("%s: code %q, version %d, want %q, %d", s.name, res.Code, res.Version, s.code, s.version)
+		}
+		if got := a.k.Routes().Rows[0].Name; got != s.rows {
+			t.Errorf("%s: %q is in force, want %q", s.name, got, s.rows)
+		}
+	}
+}
+
+// TestChangeWindow: the window of change IDs is bounded and keeps the newest.
+func TestChangeWindow(t *testing.T) {
+	a := &applier{k: newKeeper()}
+	for i := range maxChanges + 10 {
+		a.apply(&carobrock.Command{ChangeID: fmt.Sprint(i), ExpireWindow: &carobrock.ExpireWindow{}})
+	}
+	if n := len(a.k.state.Changes); n != maxChanges || len(a.k.changes) != maxChanges {
+		t.Errorf("%d changes kept, %d indexed, want %d", n, len(a.k.changes), maxChanges)
+	}
+	res := a.apply(&carobrock.Command{ChangeID: fmt.Sprint(maxChanges), ExpireWindow: &carobrock.ExpireWindow{}})
+	if res.Index != maxChanges+1 {
+		t.Errorf("a repeated change has index %d, want that of the first, %d", res.Index, maxChanges+1)
+	}
+}
+
+func worker(name, az string, milli int64) carobrock.Worker {
+	return carobrock.Worker{
+		Name: name, VM: "vm-" + name, Incarnation: "1", AvailabilityZone: az,
+		Capacity: carobrock.Capacity{MilliCPU: milli, MemoryMB: 1000, Accelerators: 1},
+	}
+}
+
+// lifeMachine drives tasks through every event in any order, late and doubled.
+type lifeMachine struct {
+	a *applier
+}
+
+var lifeEvents = []carobrock.TaskEvent{
+	carobrock.EventAssign, carobrock.EventStarted, carobrock.EventSucceeded, carobrock.EventFailed, carobrock.EventGaveUp,
+	carobrock.EventEvict, carobrock.EventCheckpointed, carobrock.EventStopped, carobrock.EventLeaseExpired, carobrock.EventCancel,
+	carobrock.EventNoFit, carobrock.EventFitAgain,
+}
+
+const lifeTasks, lifeWorkers = 6, 3
+
+func (m *lifeMachine) step(t *rapid.T) {
+	id := fmt.Sprint("t", rapid.IntRange(0, lifeTasks-1).Draw(t, "task"))
+	before, _ := m.a.k.Task(id)
+	attempt := before.Attempt
+	switch rapid.IntRange(0, 5).Draw(t, "attempt") {
+	case 0:
+		attempt++
+	case 1:
+		attempt = max(attempt, 1) - 1
+	}
+	ch := carobrock.TaskChange{
+		ID: id, Attempt: attempt, Event: rapid.SampledFrom(lifeEvents).Draw(t, "event"),
+		Worker: fmt.Sprint("w", rapid.IntRange(0, lifeWorkers).Draw(t, "worker")), Checkpoint: fmt.Sprint("c", attempt),
+	}
+	if ch.Event == carobrock.EventAssign {
+		ch.Attempt = before.Attempt + 1
+	}
+	res := m.a.apply(&carobrock.Command{TaskChanges: &carobrock.TaskChanges{Changes: []carobrock.TaskChange{ch}}})
+	after, _ := m.a.k.Task(id)
+	m.checkStep(t, &before, &after, &ch, len(res.Rejected) > 0)
+}
+
+func (m *lifeMachine) checkStep(t *rapid.T, before, after *carobrock.Task, ch *carobrock.TaskChange, rejected bool) {
+	if rejected && !cmp.Equal(before, after) {
+		t.Fatalf("a change that was rejected changed the task: %s", cmp.Diff(before, after))
+	}
+	if before.IsFinal() && !cmp.Equal(before, after) {
+		t.Fatalf("a finished task changed: %s", cmp.Diff(before, after))
+	}
+	if after.Attempt != before.Attempt {
+		if before.HoldsCapacity() {
+			t.Fatalf("attempt %d was made while attempt %d may be running on %s", after.Attempt, before.Attempt, before.Worker)
+		}
+		if after.Attempt != before.Attempt+1 || ch.Event != carobrock.EventAssign {
+			t.Fatalf("attempt went from %d to %d by %s", before.Attempt, after.Attempt, ch.Event)
+		}
+	}
+	if after.Checkpoint != before.Checkpoint && before.State != carobrock.TaskCheckpointing {
+		t.Fatalf("checkpoint changed in state %s", before.State)
+	}
+	if before.CancelRequested && after.State == carobrock.TaskQueued {
+		t.Fatal("a cancelled task was queued again")
+	}
+}
+
+// check compares the committed capacity with a recount.
+func (m *lifeMachine) check(t *rapid.T) {
+	for _, w := range m.a.k.Workers() {
+		sum := carobrock.Capacity{}
+		for _, task := range m.a.k.Tasks(func(x *carobrock.Task) bool { return x.Worker == w.Name }) {
+			sum = sum.Add(task.Size)
+		}
+		for _, s := range w.Services {
+			sum = sum.Add(s.Reserved)
+		}
+		if !sum.Fits(w.Capacity) {
+			t.Fatalf("%s is committed to %+v of %+v", w.Name, sum, w.Capacity)
+		}
+		if got := w.Capacity.Sub(sum); got != w.Free {
+			t.Fatalf("%s: free %+v, recount says %+v", w.Name, w.Free, got)
+		}
+	}
+}
+
+// TestLifeOfTasks is the property test of the state machine: at most one attempt
+// that may be running, no VM beyond its capacity, final states final, a cancel
+// never undone, a snapshot equal to what it was taken from.
+func TestLifeOfTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &lifeMachine{a: &applier{k: newKeeper()}}
+		m.a.apply(&carobrock.Command{PutTable: &carobrock.PutTable{Table: carobrock.TablePools, Pools: []carobrock.Pool{{Name: "p"}}}})
+		var workers []carobrock.Worker
+		for i := range lifeWorkers {
+			w := worker(fmt.Sprint("w", i), fmt.Sprint("az", i), 1000)
+			w.Services = []carobrock.Service{{Pool: "p", Address: fmt.Sprint("u", i), Reserved: carobrock.Capacity{MilliCPU: 200}}}
+			workers = append(workers, w)
+		}
+		m.a.apply(&carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: workers}})
+		for i := range lifeTasks {
+			size := carobrock.Capacity{MilliCPU: rapid.Int64Range(0, 900).Draw(t, "cpu"), Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators")}
+			m.a.apply(&carobrock.Command{SubmitTask: &carobrock.SubmitTask{Spec: carobrock.TaskSpec{ID: fmt.Sprint("t", i), Pool: "p", Size: size}}})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step": m.step,
+			"zone": func(t *rapid.T) {
+				m.a.apply(&carobrock.Command{PutZone: &carobrock.PutZone{
+					Name: fmt.Sprint("az", rapid.IntRange(0, lifeWorkers-1).Draw(t, "az")), OutOfService: rapid.Bool().Draw(t, "out"),
+				}})
+			},
+			"restart": func(t *rapid.T) {
+				data, err := m.a.k.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				k := newKeeper()
+				if err := k.Restore(m.a.index, data); err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(m.a.k.committed, k.committed); diff != "" {
+					t.Fatal(diff)
+				}
+				m.a.k = k
+			},
+			"": m.check,
+		})
+	})
+}
+
+// TestAssignRefused: what the state machine refuses whatever the policy asks.
+func TestAssignRefused(t *testing.T) {
+	tests := []struct {
+		name   string
+		before *carobrock.Command
+		worker string
+		size   int64
+	}{
+		{"unknown worker", nil, "nosuch", 1},
+		{"too large", nil, "w1", 1001},
+		{"zone out of service", &carobrock.Command{PutZone: &carobrock.PutZone{Name: "az1", OutOfService: true}}, "w1", 1},
+		{"zone down", &carobrock.Command{PutVerdicts: &carobrock.PutVerdicts{Verdicts: []carobrock.Verdict{{AvailabilityZone: "az1", Down: true, Sequence: 1}}}}, "w1", 1},
+		{"VM down", &carobrock.Command{PutVerdicts: &carobrock.PutVerdicts{Verdicts: []carobrock.Verdict{{VM: "vm-w1", Down: true, Sequence: 1}}}}, "w1", 1},
+		{"pool does not allow the worker", &carobrock.Command{PutTable: &carobrock.PutTable{Table: carobrock.TablePools, BaseVersion: 1, Pools: []carobrock.Pool{{Name: "p", Workers: []string{"x*"}}}}}, "w1", 1},
+		{"pool does not exist", &carobrock.Command{PutTable: &carobrock.PutTable{Table: carobrock.TablePools, BaseVersion: 1}}, "w1", 1},
+		{"worker leaving", &carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: []carobrock.Worker{{Name: "w1", VM: "vm-w1", Incarnation: "1", AvailabilityZone: "az1", Leaving: true}}}}, "w1", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := &applier{k: newKeeper()}
+			a.apply(&carobrock.Command{PutTable: &carobrock.PutTable{Table: carobrock.TablePools, Pools: []carobrock.Pool{{Name: "p"}}}})
+			a.apply(&carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: []carobrock.Worker{worker("w1", "az1", 1000)}}})
+			a.apply(&carobrock.Command{SubmitTask: &carobrock.SubmitTask{Spec: carobrock.TaskSpec{ID: "t", Pool: "p", Size: carobrock.Capacity{MilliCPU: tt.size}}}})
+			if tt.before != nil {
+				if res := a.apply(tt.before); res.Code != "" {
+					t.Fatal(res.Text)
+				}
+			}
+			res := a.apply(&carobrock.Command{TaskChanges: &carobrock.TaskChanges{Changes: []carobrock.TaskChange{
+				{ID: "t", Event: carobrock.EventAssign, Attempt: 1, Worker: tt.worker},
+			}}})
+			if len(res.Rejected) != 1 {
+				t.Error("the assignment was accepted")
+			}
+		})
+	}
+}
+
+// TestVerdictOrder: an older verdict never undoes a newer one, and verdicts
+// leave the operators' bit alone.
+func TestVerdictOrder(t *testing.T) {
+	a := &applier{k: newKeeper()}
+	a.apply(&carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: []carobrock.Worker{worker("w1", "az1", 1)}}})
+	verdict := func(down bool, sequence uint64) {
+		a.apply(&carobrock.Command{PutVerdicts: &carobrock.PutVerdicts{Verdicts: []carobrock.Verdict{{AvailabilityZone: "az1", Down: down, Sequence: sequence}}}})
+	}
+	verdict(true, 5)
+	verdict(false, 4)
+	if z := a.k.Zones()[0]; !z.Down {
+		t.Error("a late verdict undid a newer one")
+	}
+	a.apply(&carobrock.Command{PutZone: &carobrock.PutZone{Name: "az1", OutOfService: true}})
+	verdict(false, 6)
+	if z := a.k.Zones()[0]; z.Down || !z.OutOfService {
+		t.Errorf("zone %+v, want only out of service", z)
+	}
+}
+
+// TestDelta: applying deltas in turn gives the same view as the whole one.
+func TestDelta(t *testing.T) {
+	a := &applier{k: newKeeper()}
+	seen := map[string]bool{}
+	since := uint64(0)
+	for i := range 40 {
+		name := fmt.Sprint("w", i%7)
+		if i%5 == 4 {
+			a.apply(&carobrock.Command{DropWorkers: &carobrock.DropWorkers{Names: []string{name}}})
+		} else {
+			a.apply(&carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: []carobrock.Worker{worker(name, "az1", int64(i))}}})
+		}
+		if i%3 > 0 {
+			continue
+		}
+		v, index, full := a.k.Delta(since, "g", "1")
+		if full {
+			clear(seen)
+		}
+		for _, gone := range v.Removed {
+			delete(seen, gone)
+		}
+		for _, w := range v.Workers {
+			seen[w.Name] = true
+		}
+		since = index
+		for _, w := range a.k.Workers() {
+			if !seen[w.Name] {
+				t.Errorf("step %d: %s is missing", i, w.Name)
+			}
+		}
+		if len(seen) != len(a.k.Workers()) {
+			t.Errorf("step %d: %d workers by deltas, %d in the state", i, len(seen), len(a.k.Workers()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/launcher/gateways_test.go
@@ -0,0 +1,214 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/emulator"
+	"github.com/carobrock/carobrock/pkg/client"
+)
+
+// system is a whole system in one process, over real connections and disks.
+type system struct {
+	t        *testing.T
+	replicas []string // addresses for gateways
+	admin    *client.Client
+	workers  []*emulator.Worker
+	running  *conc.WaitGroup
+	stops    []context.CancelFunc
+}
+
+func newSystem(t *testing.T, workers int) *system {
+	t.Helper()
+	s := &system{t: t, running: conc.NewWaitGroup()}
+	c, err := NewControl(&ControlSettings{
+		Name: "c1", Listen: anyLocalPort, Operations: anyLocalPort, DataDir: t.TempDir(), Members: []string{"c1=127.0.0.1:1"},
+		ElectionTimeout: 200 * time.Millisecond, SnapshotEvery: 1000,
+	}, "test", zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.run(c.Run)
+	s.replicas = []string{c.controller.Replica.Address}
+	s.admin = &client.Client{Addresses: []string{c.operations.Addr().String()}}
+	for i := range workers {
+		w, err := NewWorker(&WorkerSettings{
+			Name: fmt.Sprint("w", i), AvailabilityZone: "az1", Listen: anyLocalPort, Service: anyLocalPort, Pool: "logbook",
+			Slots: 8, Connections: 64, ServiceTime: 3 * time.Millisecond, Cores: 16, MemoryMB: 65536, Announce: s.admin.Addresses,
+		}, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.workers = append(s.workers, w)
+		s.run(w.Run)
+	}
+	t.Cleanup(func() {
+		for _, stop := range s.stops {
+			stop()
+		}
+		s.running.Wait()
+	})
+	s.putTables()
+	return s
+}
+
+func (s *system) run(fn func(ctx context.Context) error) (stop context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stops = append(s.stops, cancel)
+	s.running.Go(func() {
+		if err := fn(ctx); err != nil {
+			s.t.Error(err)
+		}
+	})
+	return cancel
+}
+
+func (s *system) putTables() {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if _, err := s.admin.PutPools(ctx, "pools", 0, []carobrock.Pool{{Name: "logbook"}}); err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := s.admin.PutRoutes(ctx, "routes", 0, []carobrock.Route{{Name: "logbook", PathPrefix: "/", Pool: "logbook", TimeoutMillis: 1000}}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// testGateway is a gateway that can be stopped.
+type testGateway struct {
+	address string
+	gateway *Gateway
+	stop    context.CancelFunc
+	cut     chan struct{}
+	done    chan struct{}
+}
+
+func (s *system) startGateway(name string) *testGateway {
+	s.t.Helper()
+	g, err := NewGateway(&GatewaySettings{
+		Name: name, Listen: anyLocalPort, Operations: anyLocalPort, Replicas: s.replicas, StaleAfter: 5 * time.Second,
+		DrainDelay: 50 * time.Millisecond, MaxBodyBytes: 1 << 20, MaxQueue: 1024,
+	}, "test", zerolog.Nop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	tg := &testGateway{address: g.gateway.Callers.Addr().String(), gateway: g, cut: make(chan struct{}), done: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	tg.stop = cancel
+	s.stops = append(s.stops, cancel)
+	s.running.Go(func() {
+		defer close(tg.done)
+		if err := g.Run(ctx, tg.cut); err != nil {
+			s.t.Error(err)
+		}
+	})
+	return tg
+}
+
+// TestGatewaysComeAndGo: 11 gateways start, drain and are killed under load. At
+// no time does a worker see more requests than its slots or more connections
+// than its limit, and refusals are truthful.
+func TestGatewaysComeAndGo(t *testing.T) {
+	const gateways, rounds = 11, 12
+	s := newSystem(t, 2)
+	var mu sync.Mutex
+	var alive []*testGateway
+	next := 0
+	add := func() {
+		next++
+		g := s.startGateway(fmt.Sprint("g", next))
+		mu.Lock()
+		defer mu.Unlock()
+		alive = append(alive, g)
+	}
+	for range gateways {
+		add()
+	}
+	load, stopLoad := context.WithCancel(context.Background())
+	callers := conc.NewWaitGroup()
+	answered := make([]int, 64)
+	for i := range answered {
+		callers.Go(func() { answered[i] = callUntil(load, t, &mu, &alive, uint64(i)) })
+	}
+	rnd := rand.New(rand.NewPCG(11, 11))
+	for round := range rounds {
+		time.Sleep(300 * time.Millisecond)
+		mu.Lock()
+		i := rnd.IntN(len(alive))
+		g := alive[i]
+		alive = append(alive[:i:i], alive[i+1:]...)
+		mu.Unlock()
+		if round%3 == 0 {
+			close(g.cut) // as a kill: nothing is handed back
+		}
+		g.stop()
+		add()
+	}
+	stopLoad()
+	callers.Wait()
+	total := 0
+	for _, n := range answered {
+		total += n
+	}
+	for _, w := range s.workers {
+		state := workerStateOf(w)
+		t.Logf("%s: most requests at a time %d, most connections %d", w.Name, state.MaxInFlight, state.MaxConnections)
+		if state.MaxInFlight > 8 || state.MaxConnections > 64 {
+			t.Errorf("%s: %d requests and %d connections at a time, the limits are 8 and 64", w.Name, state.MaxInFlight, state.MaxConnections)
+		}
+	}
+	t.Logf("%d requests answered", total)
+	if total < 100 {
+		t.Errorf("only %d requests were answered", total)
+	}
+}
+
+// callUntil sends requests to gateways drawn at random and returns how many
+// were answered in full.
+func callUntil(ctx context.Context, t *testing.T, mu *sync.Mutex, alive *[]*testGateway, seed uint64) int {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	answered := 0
+	for n := 0; ctx.Err() == nil; n++ {
+		mu.Lock()
+		address := (*alive)[rnd.IntN(len(*alive))].address
+		mu.Unlock()
+		path := fmt.Sprintf("/c%d/%d", seed, n)
+		res, err := c.Post("http://"+address+path, "text/plain", strings.NewReader("tow"))
+		if err != nil {
+			continue // a gateway that was killed
+		}
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		switch {
+		case err != nil:
+		case res.StatusCode == http.StatusOK && strings.Contains(string(body), `"path":"`+path+`"`):
+			answered++
+		case res.StatusCode == http.StatusOK:
+			t.Errorf("%s got another request's answer: %s", path, body)
+		default:
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return answered
+}
+
+type seenByWorker struct{ MaxInFlight, MaxConnections int64 }
+
+func workerStateOf(w *emulator.Worker) seenByWorker {
+	inFlight, connections := w.Most()
+	return seenByWorker{inFlight, connections}
+}
