Keeper: count attempts on a VM, so that size zero is no free pass

Change: the account of a VM counts attempts beside their sizes.

TestDropWorkerWithAttempt fails without the change and passes with it.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -73,11 +73,19 @@
 	Result *carobrock.Result `json:"result"`
 }
 
+// vmUse is what the attempts on a VM hold.
+type vmUse struct {
+	// size is the sum of their sizes.
+	size carobrock.Capacity
+	// attempts counts them: an attempt may have the size zero.
+	attempts int
+}
+
 // Keeper is the state machine. The zero value is empty and ready after Prepare.
 type Keeper struct {
 	mu        sync.RWMutex
 	state     state
-	committed map[string]carobrock.Capacity // by VM, tasks only
+	committed map[string]vmUse // by VM, tasks only; VMs without attempts are left out
 	vmWorker  map[string]string             // the worker on each VM
 	changes   map[string]int                // change ID to its place, plus dropped
 	dropped   int                           // change IDs dropped so far
@@ -98,13 +106,13 @@
 
 // reindex rebuilds what is derived from the state.
 func (k *Keeper) reindex() {
-	k.committed = map[string]carobrock.Capacity{}
+	k.committed = map[string]vmUse{}
 	k.vmWorker = map[string]string{}
 	k.changes = map[string]int{}
 	k.dropped = 0
 	for _, t := range k.state.Tasks {
 		if t.HoldsCapacity() {
-			k.committed[t.VM] = k.committed[t.VM].Add(t.Size)
+			k.hold(t)
 		}
 	}
 	for _, w := range k.state.Workers {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -215,7 +215,7 @@
 				if err := k.Restore(m.a.index, data); err != nil {
 					t.Fatal(err)
 				}
-				if diff := cmp.Diff(m.a.k.committed, k.committed); diff != "" {
+				if diff := cmp.Diff(m.a.k.committed, k.committed, cmp.AllowUnexported(vmUse{})); diff != "" {
 					t.Fatal(diff)
 				}
 				m.a.k = k
@@ -283,6 +283,28 @@
 	}
 }
 
+// TestDropWorkerWithAttempt: a worker stays while an attempt may be running on
+// it, also one of size zero beside another that has ended.
+func TestDropWorkerWithAttempt(t *testing.T) {
+	a := &applier{k: newKeeper()}
+	a.apply(&carobrock.Command{PutTable: &carobrock.PutTable{Table: carobrock.TablePools, Pools: []carobrock.Pool{{Name: "p"}}}})
+	a.apply(&carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: []carobrock.Worker{worker("w1", "az1", 1000)}}})
+	for _, id := range []string{"a", "b"} {
+		a.apply(&carobrock.Command{SubmitTask: &carobrock.SubmitTask{Spec: carobrock.TaskSpec{ID: id, Pool: "p"}}})
+		a.apply(&carobrock.Command{TaskChanges: &carobrock.TaskChanges{Changes: []carobrock.TaskChange{{ID: id, Event: carobrock.EventAssign, Attempt: 1, Worker: "w1"}}}})
+	}
+	a.apply(&carobrock.Command{TaskChanges: &carobrock.TaskChanges{Changes: []carobrock.TaskChange{{ID: "a", Event: carobrock.EventSucceeded, Attempt: 1}}}})
+	a.apply(&carobrock.Command{DropWorkers: &carobrock.DropWorkers{Names: []string{"w1"}}})
+	if _, ok := a.k.Worker("w1"); !ok {
+		t.Error("the worker of a running attempt was dropped")
+	}
+	a.apply(&carobrock.Command{TaskChanges: &carobrock.TaskChanges{Changes: []carobrock.TaskChange{{ID: "b", Event: carobrock.EventSucceeded, Attempt: 1}}}})
+	a.apply(&carobrock.Command{DropWorkers: &carobrock.DropWorkers{Names: []string{"w1"}}})
+	if _, ok := a.k.Worker("w1"); ok {
+		t.Error("an idle worker was not dropped")
+	}
+}
+
 // TestDelta: applying deltas in turn gives the same view as the whole one.
 func TestDelta(t *testing.T) {
 	a := &applier{k: newKeeper()}
--- a/internal/keeper/tasks.go
+++ b/internal/keeper/tasks.go
@@ -94,7 +94,7 @@
 	}
 	t.Attempt = ch.Attempt
 	t.Worker, t.VM, t.Incarnation = w.Name, w.VM, w.Incarnation
-	k.committed[w.VM] = k.committed[w.VM].Add(t.Size)
+	k.hold(t)
 	return nil
 }
 
@@ -122,16 +122,22 @@
 	}
 }
 
+// hold commits the size of an attempt on its VM.
+func (k *Keeper) hold(t *carobrock.Task) {
+	use := k.committed[t.VM]
+	k.committed[t.VM] = vmUse{size: use.size.Add(t.Size), attempts: use.attempts + 1}
+}
+
 // release frees the capacity of an attempt that cannot be running any more.
 func (k *Keeper) release(t *carobrock.Task) {
 	if !t.HoldsCapacity() {
 		return
 	}
-	left := k.committed[t.VM].Sub(t.Size)
-	if left == (carobrock.Capacity{}) {
+	use := k.committed[t.VM]
+	if use.attempts == 1 {
 		delete(k.committed, t.VM)
 	} else {
-		k.committed[t.VM] = left
+		k.committed[t.VM] = vmUse{size: use.size.Sub(t.Size), attempts: use.attempts - 1}
 	}
 	t.Worker, t.VM, t.Incarnation = "", "", ""
 }
--- a/internal/keeper/workers.go
+++ b/internal/keeper/workers.go
@@ -32,7 +32,7 @@
 func (k *Keeper) dropWorkers(c *carobrock.DropWorkers, res *carobrock.Result) {
 	for _, name := range c.Names {
 		w := k.state.Workers[name]
-		if w == nil || k.committed[w.VM] != (carobrock.Capacity{}) {
+		if w == nil || k.committed[w.VM].attempts > 0 {
 			continue
 		}
 		delete(k.vmWorker, w.VM)
@@ -48,7 +48,7 @@
 // free returns what may still be committed on the worker's VM. Parts are
 // negative if the worker announced less than is committed.
 func (k *Keeper) free(w *carobrock.Worker) carobrock.Capacity {
-	free := w.Capacity.Sub(k.committed[w.VM])
+	free := w.Capacity.Sub(k.committed[w.VM].size)
 	for _, s := range w.Services {
 		free = free.Sub(s.Reserved)
 	}
