--- a/internal/emulator/orders.go
+++ b/internal/emulator/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -21,8 +22,8 @@
 func (w *Worker) ordersHandler() http.Handler {
 	r := httprouter.New()
 	r.PUT("/v1/tasks/:id", w.handleStart)
-	r.POST("/v1/tasks/:id/checkpoint", w.handleAttempt((*attempt).save))
-	r.POST("/v1/tasks/:id/stop", w.handleAttempt(func(a *attempt) { a.end(carobrock.ReportStopped, "stopped on order") }))
+	r.POST("/v1/tasks/:id/checkpoint", handleAttempt(w.Save))
+	r.POST("/v1/tasks/:id/stop", handleAttempt(w.End))
 	r.POST("/v1/tasks/:id/throttle", w.handleThrottle)
 	r.GET("/v1/state", w.handleState)
 	return r
@@ -34,17 +35,18 @@
 		http.Error(rw, "the order is not valid", http.StatusBadRequest)
 		return
 	}
-	if err := w.start(o, time.Now()); err != nil {
+	if err := w.Begin(o); err != nil {
 		http.Error(rw, err.Error(), http.StatusConflict)
 		return
 	}
 	rw.WriteHeader(http.StatusNoContent)
 }
 
-// start begins an attempt, or says why it must not.
-func (w *Worker) start(o *carobrock.StartOrder, now time.Time) error {
+// Begin begins an attempt, or says why it must not.
+func (w *Worker) Begin(o *carobrock.StartOrder) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now()
 	ref := carobrock.AttemptRef{ID: o.Spec.ID, Attempt: o.Attempt}
 	switch {
 	case o.Incarnation != w.Incarnation:
@@ -64,25 +66,42 @@
 	return nil
 }
 
-// handleAttempt carries out an order about a running attempt. An order about an
-// attempt that is not here is refused.
-func (w *Worker) handleAttempt(do func(a *attempt)) httprouter.Handle {
+// errNoAttempt is the answer to an order about an attempt that is not here.
+var errNoAttempt = errors.New("the attempt is not here")
+
+// Save has an attempt save a checkpoint and pause.
+func (w *Worker) Save(ref carobrock.AttemptRef) error { return w.change(ref, (*attempt).save) }
+
+// End stops an attempt.
+func (w *Worker) End(ref carobrock.AttemptRef) error {
+	return w.change(ref, func(a *attempt) { a.end(carobrock.ReportStopped, "stopped on order") })
+}
+
+func (w *Worker) change(ref carobrock.AttemptRef, do func(a *attempt)) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := w.attempts[ref]
+	if a == nil {
+		return errNoAttempt
+	}
+	if !w.Faults.IgnoreStops.Load() {
+		do(a)
+	}
+	return nil
+}
+
+// handleAttempt carries out an order about an attempt.
+func handleAttempt(do func(ref carobrock.AttemptRef) error) httprouter.Handle {
 	return func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		ref := carobrock.AttemptRef{}
 		if err := json.NewDecoder(r.Body).Decode(&ref); err != nil || ref.ID != p.ByName("id") {
 			http.Error(rw, "the order is not valid", http.StatusBadRequest)
 			return
 		}
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		a := w.attempts[ref]
-		if a == nil {
-			http.Error(rw, "the attempt is not here", http.StatusNotFound)
+		if err := do(ref); err != nil {
+			http.Error(rw, err.Error(), http.StatusNotFound)
 			return
 		}
-		if !w.Faults.IgnoreStops.Load() {
-			do(a)
-		}
 		rw.WriteHeader(http.StatusNoContent)
 	}
 }
@@ -115,6 +134,28 @@
 	_ = json.NewEncoder(rw).Encode(w.State())
 }
 
+// AttemptState is one attempt as it is on the worker.
+type AttemptState struct {
+	carobrock.AttemptRef
+	// State is the attempt's state.
+	State carobrock.ReportState
+	// Progress is the work done, with what its checkpoint brought.
+	Progress time.Duration
+	// Began is when the attempt began here.
+	Began time.Time
+}
+
+// Attempts returns the attempts that the worker knows of.
+func (w *Worker) Attempts() []AttemptState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]AttemptState, 0, len(w.attempts))
+	for _, a := range w.attempts {
+		out = append(out, AttemptState{AttemptRef: a.ref, State: a.state, Progress: a.progress, Began: a.began})
+	}
+	return out
+}
+
 // State describes the worker for tests and people.
 func (w *Worker) State() any {
 	return workerState{
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -34,6 +34,8 @@
 	IgnoreStops atomic.Bool
 	// Mute stops the announcements.
 	Mute atomic.Bool
+	// Frozen stops the whole worker, as if its process got no processor.
+	Frozen atomic.Bool
 }
 
 // Worker is the stand-in. Its fields are set before Run and not changed after.
@@ -41,7 +43,8 @@
 	// Worker is what the worker says of itself. Address and the addresses of
 	// the services are filled in from the listeners.
 	carobrock.Worker
-	// Orders is the listener for task orders.
+	// Orders is the listener for task orders. Nil: Address is as set, and orders
+	// come through the methods.
 	Orders net.Listener
 	// Service is the listener of the service. Nil: no service.
 	Service net.Listener
@@ -89,7 +92,9 @@
 	w.attempts = map[carobrock.AttemptRef]*attempt{}
 	w.newest = map[string]uint64{}
 	w.period = defaultPeriod
-	w.Address = w.Orders.Addr().String()
+	if w.Orders != nil {
+		w.Address = w.Orders.Addr().String()
+	}
 	if w.Service != nil {
 		w.Services = []carobrock.Service{{
 			Pool: w.ServicePool, Address: w.Service.Addr().String(), Slots: w.Slots, Connections: w.Connections, Reserved: w.Reserved,
@@ -103,8 +108,12 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	parts := pool.New().WithContext(inner).WithCancelOnError().WithFirstError()
-	servers := []*http.Server{{Handler: w.ordersHandler(), ReadHeaderTimeout: announceTimeout}}
-	listeners := []net.Listener{w.Orders}
+	var servers []*http.Server
+	var listeners []net.Listener
+	if w.Orders != nil {
+		servers = append(servers, &http.Server{Handler: w.ordersHandler(), ReadHeaderTimeout: announceTimeout})
+		listeners = append(listeners, w.Orders)
+	}
 	if w.Service != nil {
 		servers = append(servers, &http.Server{Handler: http.HandlerFunc(w.serve), ReadHeaderTimeout: announceTimeout, ConnState: w.countConn})
 		listeners = append(listeners, w.Service)
@@ -148,7 +157,7 @@
 // announceAll announces the worker once in each period.
 func (w *Worker) announceAll(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !w.Faults.Mute.Load() {
+		if !w.Faults.Mute.Load() && !w.Faults.Frozen.Load() {
 			w.announce(ctx)
 		}
 		w.mu.Lock()
@@ -225,6 +234,10 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		if w.Faults.Frozen.Load() {
+			last = now
+			continue
+		}
 		w.mu.Lock()
 		for _, a := range w.attempts {
 			w.advance(a, now, now.Sub(last))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -85,10 +85,10 @@
 type Keeper struct {
 	mu        sync.RWMutex
 	state     state
-	committed map[string]vmUse // by VM, tasks only; VMs without attempts are left out
-	vmWorker  map[string]string             // the worker on each VM
-	changes   map[string]int                // change ID to its place, plus dropped
-	dropped   int                           // change IDs dropped so far
+	committed map[string]vmUse  // by VM, tasks only; VMs without attempts are left out
+	vmWorker  map[string]string // the worker on each VM
+	changes   map[string]int    // change ID to its place, plus dropped
+	dropped   int               // change IDs dropped so far
 	chart     *charter.Chart
 }
 
