--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -1,6 +1,7 @@
 package charter
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -56,3 +57,24 @@
 		})
 	}
 }
+
+// TestChartsAreDrawn: docs/design.md shows every chart as its file has it.
+func TestChartsAreDrawn(t *testing.T) {
+	data, err := os.ReadFile("../../docs/design.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries, err := charts.Files.ReadDir(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		c, err := Load(e.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(string(data), c.Draw()) {
+			t.Errorf("docs/design.md does not show the chart %s as:\n%s", c.Name, c.Draw())
+		}
+	}
+}
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -156,6 +156,9 @@
 	self := false
 	names := map[string]bool{}
 	for _, m := range s.Members {
+		if m == "" {
+			continue // an environment variable that is set and empty
+		}
 		name, address, ok := strings.Cut(m, "=")
 		if !ok || name == "" {
 			return nil, bad("--members %q is not NAME=IP:PORT", m)
