Charts of replica and gateway are interpreted; races in test code mended

The charts of the replica and the gateway were checked but not interpreted.

Ruled out: races in the product's code; every report names a line of a test.

Change: locks around what the tests share, a replica is read together with its own state machine; charter.Machine, by which core and Gateway change their state.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/carobrock/carobrock/internal/admitter"
+	"github.com/carobrock/carobrock/internal/charter"
 	"github.com/carobrock/carobrock/internal/forwarder"
 	"github.com/carobrock/carobrock/internal/messenger"
 	"github.com/carobrock/carobrock/internal/watcher"
@@ -55,10 +57,22 @@
 	// Logger takes the log.
 	Logger zerolog.Logger
 
-	draining atomic.Bool
 	requests atomic.Int64
+	mu       sync.Mutex
+	chart    charter.Machine // charts/gateway.yaml
 }
 
+// Events and states of charts/gateway.yaml.
+const (
+	eventConfirmed = "confirmed"
+	eventStale     = "stale"
+	eventDrain     = "drain"
+	eventIdle      = "idle"
+
+	stateServing  = "serving"
+	stateDraining = "draining"
+)
+
 // Prepare wires the parts together.
 func (g *Gateway) Prepare() {
 	if g.DrainDelay == 0 {
@@ -75,6 +89,7 @@
 	g.Watcher.Demand = g.Forwarder.Admitter.Demand
 	g.Watcher.Settled = g.Forwarder.Settled
 	g.Watcher.OnCatalog = g.Forwarder.Update
+	g.chart.Chart = charter.MustLoad("gateway.yaml")
 	g.Messenger.Prepare()
 	g.Watcher.Prepare()
 }
@@ -87,22 +102,22 @@
 }
 
 // IsReady reports whether the balancer should send callers here.
-func (g *Gateway) IsReady() bool {
-	return !g.draining.Load() && g.Watcher.IsFresh() && g.Watcher.HoldsGrants()
-}
+func (g *Gateway) IsReady() bool { return g.State() == stateServing && g.Watcher.HoldsGrants() }
 
-// State returns the state of the chart charts/gateway.yaml.
+// State returns the present state of the chart charts/gateway.yaml.
 func (g *Gateway) State() string {
-	switch {
-	case g.draining.Load():
-		return "draining"
-	case g.Watcher.Current() == nil:
-		return "starting"
-	case g.Watcher.IsFresh():
-		return "serving"
-	default:
-		return "stale"
+	if g.Watcher.IsFresh() {
+		return g.fire(eventConfirmed)
 	}
+	return g.fire(eventStale)
+}
+
+// fire lets an event happen and returns the state that follows.
+func (g *Gateway) fire(event string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.chart.Fire(event)
+	return g.chart.Current()
 }
 
 // ServeHTTP serves a caller: the two checks for the balancer, else the request.
@@ -117,7 +132,7 @@
 	}
 	g.requests.Add(1)
 	defer g.requests.Add(-1)
-	if g.draining.Load() {
+	if g.State() == stateDraining {
 		w.Header().Set("Connection", "close")
 	}
 	g.Forwarder.ServeHTTP(w, r)
@@ -172,7 +187,7 @@
 // drain ends the service without cutting a request.
 func (g *Gateway) drain(callers *http.Server, cut <-chan struct{}) {
 	g.Logger.Info().Dur("delay", g.DrainDelay).Msg("gateway: draining")
-	g.draining.Store(true)
+	g.fire(eventDrain)
 	timer := time.NewTimer(max(0, g.DrainDelay))
 	defer timer.Stop()
 	select {
@@ -194,6 +209,7 @@
 	}
 	stop.Wait()
 	g.handBack(cut)
+	g.fire(eventIdle)
 	g.Logger.Info().Msg("gateway: drained")
 }
 
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -161,11 +161,13 @@
 	nd.c.t.Helper()
 	k := &keeper.Keeper{}
 	k.Prepare()
+	nd.c.mu.Lock()
 	seed := nd.c.rand.Uint64()
 	incarnation := nd.incarnation
 	if incarnation == 0 {
 		incarnation = nd.c.rand.Uint64() | 1
 	}
+	nd.c.mu.Unlock()
 	r := &replicator.Replica{
 		Name: nd.name, Address: nd.address, Initial: nd.initial, Machine: k, Link: (*link)(nd),
 		Journal:         &journaler.Journal{Folder: nd.folder, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }},
@@ -249,6 +251,13 @@
 	}
 }
 
+// setLoss sets the share of messages that are lost.
+func (c *cluster) setLoss(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loss = share
+}
+
 // link is a node's way to the others.
 type link node
 
@@ -286,7 +295,14 @@
 	}
 }
 
-// replicas returns the running replicas with their nodes.
+// parts returns the replica and its state machine, which belong together.
+func (nd *node) parts() (*replicator.Replica, *keeper.Keeper) {
+	nd.c.mu.Lock()
+	defer nd.c.mu.Unlock()
+	return nd.replica, nd.keeper
+}
+
+// running returns the nodes whose replica runs.
 func (c *cluster) running() []*node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -304,7 +320,7 @@
 	c.t.Helper()
 	for range 6000 {
 		for _, nd := range c.running() {
-			if nd.replica.LeaseLeft() > 0 && (len(among) == 0 || slices.Contains(among, nd)) {
+			if r, _ := nd.parts(); r.LeaseLeft() > 0 && (len(among) == 0 || slices.Contains(among, nd)) {
 				return nd
 			}
 		}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/carobrock/carobrock/internal/charter"
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
@@ -17,6 +18,16 @@
 	roleLeader    role = "leader"
 )
 
+// Events of the chart charts/replica.yaml.
+const (
+	eventFormed          = "formed"
+	eventContacted       = "contacted"
+	eventElectionTimeout = "electionTimeout"
+	eventElected         = "elected"
+	eventHigherTerm      = "higherTerm"
+	eventQuorumLost      = "quorumLost"
+)
+
 // maxAppendBytes bounds the entries of one message.
 const maxAppendBytes = 1 << 20
 
@@ -49,7 +60,7 @@
 	vote   uint64
 	log    entryLog
 	commit uint64
-	role   role
+	chart  charter.Machine // of charts/replica.yaml
 	leader uint64
 
 	// members is the newest membership in the log, memberIndex where it is.
@@ -137,21 +148,35 @@
 	return &encoder.Message{Kind: kind, From: c.self.GetId(), To: to, Term: c.term}
 }
 
-// follow makes this replica a follower in term. A higher term forgets the vote.
-func (c *core) follow(now time.Time, term, leader uint64) {
+// role returns the present state of the chart.
+func (c *core) role() role { return role(c.chart.Current()) }
+
+// follow makes this replica a follower in term because of event. A higher term
+// forgets the vote.
+func (c *core) follow(now time.Time, event string, term, leader uint64) {
 	if term > c.term {
 		c.term, c.vote = term, 0
 		c.hardChanged = true
 	}
-	c.role, c.leader = roleFollower, leader
+	c.chart.Fire(event)
+	c.leader = leader
 	c.preVoting = false
 	c.peers, c.roundSent = nil, nil
 	c.reset(now)
 }
 
+// followHigher makes this replica a follower in a higher term.
+func (c *core) followHigher(now time.Time, term uint64) {
+	if c.role() == roleForming {
+		c.follow(now, eventContacted, term, 0)
+		return
+	}
+	c.follow(now, eventHigherTerm, term, 0)
+}
+
 // tick does what the passing of time asks for.
 func (c *core) tick(now time.Time) {
-	switch c.role {
+	switch c.role() {
 	case roleLeader:
 		c.tickLeader(now)
 	case roleFollower, roleCandidate:
@@ -165,7 +190,7 @@
 
 func (c *core) tickLeader(now time.Time) {
 	if now.Sub(c.quorumAcked()) > 2*c.election {
-		c.follow(now, c.term, 0)
+		c.follow(now, eventQuorumLost, c.term, 0)
 		return
 	}
 	if now.Sub(c.lastBeat) >= c.beat {
@@ -201,7 +226,7 @@
 		return
 	}
 	if m.GetTerm() > c.term {
-		c.follow(now, m.GetTerm(), 0)
+		c.followHigher(now, m.GetTerm())
 	}
 	switch m.GetKind() {
 	case encoder.MessageKind_MESSAGE_KIND_VOTE_ANSWER:
@@ -246,7 +271,7 @@
 func (c *core) saved() {
 	c.selfDurable = c.log.last()
 	c.unsaved, c.hardChanged = nil, false
-	if c.role == roleLeader {
+	if c.role() == roleLeader {
 		c.advanceCommit()
 	}
 }
--- a/internal/replicator/core_test.go
+++ b/internal/replicator/core_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carobrock/carobrock/internal/charter"
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
@@ -26,7 +27,7 @@
 	}
 	c := &core{
 		self: &encoder.Member{Id: 1}, election: time.Second, beat: 100 * time.Millisecond, drift: 100 * time.Millisecond,
-		rand: rand.New(rand.NewPCG(1, 1)), term: 5, role: roleFollower, baseMembers: &encoder.Members{},
+		rand: rand.New(rand.NewPCG(1, 1)), term: 5, chart: charter.Machine{Chart: charter.MustLoad("replica.yaml"), State: string(roleFollower)}, baseMembers: &encoder.Members{},
 		seen: map[string]*encoder.Message{}, addresses: map[uint64]string{},
 	}
 	c.accept([]*encoder.Entry{
@@ -127,6 +128,7 @@
 func TestCommitOnlyOwnTerm(t *testing.T) {
 	c := newTestCore(t)
 	c.term = 6
+	c.chart.State = string(roleCandidate)
 	c.lead(testStart)
 	c.saved()
 	answerAppend(c, 2, 2)
@@ -143,6 +145,7 @@
 func TestCommitNeedsDurableLeader(t *testing.T) {
 	c := newTestCore(t)
 	c.term = 6
+	c.chart.State = string(roleCandidate)
 	c.lead(testStart)
 	answerAppend(c, 2, 3)
 	if c.commit != 0 {
@@ -159,6 +162,7 @@
 func TestLeaseEnd(t *testing.T) {
 	c := newTestCore(t)
 	c.term = 6
+	c.chart.State = string(roleCandidate)
 	c.lead(testStart)
 	c.saved()
 	if !c.leaseEnd().IsZero() {
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -13,7 +13,8 @@
 	if !c.isVoter(c.self.GetId()) {
 		return
 	}
-	c.role, c.leader = roleCandidate, 0
+	c.chart.Fire(eventElectionTimeout)
+	c.leader = 0
 	c.preVoting = pre
 	c.votes = map[uint64]bool{c.self.GetId(): true}
 	kind := encoder.MessageKind_MESSAGE_KIND_PRE_VOTE
@@ -38,7 +39,7 @@
 // election timeout. While it is, votes are refused: the leader's lease rests
 // on this.
 func (c *core) hasLiveLeader(now time.Time) bool {
-	if c.role == roleLeader {
+	if c.role() == roleLeader {
 		return true
 	}
 	return !c.heardLeader.IsZero() && now.Sub(c.heardLeader) < c.election
@@ -63,11 +64,11 @@
 func (c *core) onPreVoteAnswer(now time.Time, m *encoder.Message) {
 	if m.GetReject() {
 		if m.GetTerm() > c.term {
-			c.follow(now, m.GetTerm(), 0)
+			c.followHigher(now, m.GetTerm())
 		}
 		return
 	}
-	if c.role == roleCandidate && c.preVoting && m.GetTerm() == c.term+1 {
+	if c.role() == roleCandidate && c.preVoting && m.GetTerm() == c.term+1 {
 		c.votes[m.GetFrom()] = true
 		c.countVotes(now)
 	}
@@ -78,7 +79,7 @@
 		return
 	}
 	if m.GetTerm() > c.term {
-		c.follow(now, m.GetTerm(), 0)
+		c.followHigher(now, m.GetTerm())
 	}
 	a := c.message(encoder.MessageKind_MESSAGE_KIND_VOTE_ANSWER, m.GetFrom())
 	free := c.vote == 0 || c.vote == m.GetFrom()
@@ -92,7 +93,7 @@
 }
 
 func (c *core) onVoteAnswer(now time.Time, m *encoder.Message) {
-	if c.role != roleCandidate || c.preVoting || m.GetTerm() != c.term || m.GetReject() {
+	if c.role() != roleCandidate || c.preVoting || m.GetTerm() != c.term || m.GetReject() {
 		return
 	}
 	c.votes[m.GetFrom()] = true
@@ -113,7 +114,8 @@
 // lead makes this replica the leader of its term. A no-op entry commits what
 // earlier terms left.
 func (c *core) lead(now time.Time) {
-	c.role, c.leader = roleLeader, c.self.GetId()
+	c.chart.Fire(eventElected)
+	c.leader = c.self.GetId()
 	c.peers = map[uint64]*progress{}
 	c.roundSent = map[uint64]time.Time{}
 	c.leadSince = now
--- a/internal/replicator/formation.go
+++ b/internal/replicator/formation.go
@@ -50,7 +50,7 @@
 
 func (c *core) onProbeAnswer(now time.Time, m *encoder.Message) {
 	c.seen[m.GetSender().GetAddress()] = m
-	if c.role == roleForming {
+	if c.role() == roleForming {
 		c.form(now)
 	}
 }
@@ -80,6 +80,7 @@
 	c.hardChanged = true
 	first := &encoder.Entry{Term: 1, Index: 1, Kind: encoder.EntryKind_ENTRY_KIND_MEMBERS, Data: data}
 	c.accept([]*encoder.Entry{first})
+	c.chart.Fire(eventFormed)
 	c.campaign(now, true)
 }
 
--- a/internal/replicator/history_test.go
+++ b/internal/replicator/history_test.go
@@ -124,18 +124,19 @@
 func (o *operatorRun) try(ctx context.Context, nd *node, in tableInput, changeID string) (tableOutput, bool) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
+	r, k := nd.parts()
 	if in.read {
-		if _, err := nd.replica.Confirm(ctx); err != nil {
+		if _, err := r.Confirm(ctx); err != nil {
 			return tableOutput{}, false
 		}
-		t := nd.keeper.Routes()
+		t := k.Routes()
 		out := tableOutput{version: t.Version}
 		if len(t.Rows) > 0 {
 			out.row = t.Rows[0].Name
 		}
 		return out, true
 	}
-	res, err := put(ctx, nd.replica, changeID, in.base, in.row)
+	res, err := put(ctx, r, changeID, in.base, in.row)
 	if err != nil {
 		return tableOutput{}, false
 	}
@@ -203,7 +204,7 @@
 func victim(c *cluster, rnd *rand.Rand) *node {
 	if rnd.IntN(2) == 0 {
 		for _, nd := range c.running() {
-			if nd.replica.LeaseLeft() > 0 {
+			if r, _ := nd.parts(); r.LeaseLeft() > 0 {
 				return nd
 			}
 		}
@@ -237,7 +238,7 @@
 
 func checkHistory(t *testing.T, seed uint64) {
 	c := newCluster(t, seed, 3+2*int(seed%2))
-	c.loss = 0.02
+	c.setLoss(0.02)
 	c.leader()
 	start := time.Now()
 	var runs []*operatorRun
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -72,7 +72,7 @@
 		}
 		break
 	}
-	if r.core.role != roleLeader {
+	if r.core.role() != roleLeader {
 		for _, p := range batch {
 			p.done <- proposalResult{err: ErrNotLeader}
 		}
@@ -101,7 +101,7 @@
 		}
 		break
 	}
-	if r.core.role != roleLeader {
+	if r.core.role() != roleLeader {
 		failConfirms(batch)
 		return
 	}
@@ -211,7 +211,7 @@
 		r.answerProposal(index, e.GetTerm(), value)
 	}
 	r.watch.advance(r.applied)
-	if c.role != roleLeader {
+	if c.role() != roleLeader {
 		r.failWaiters()
 	}
 }
@@ -239,7 +239,7 @@
 // answerConfirms answers the confirmations whose round a majority has answered.
 func (r *Replica) answerConfirms() {
 	c := r.core
-	if c.role != roleLeader {
+	if c.role() != roleLeader {
 		failConfirms(r.pending)
 		r.pending = nil
 		return
@@ -290,12 +290,12 @@
 		r.leaseEnd.Store(&end)
 	}
 	s := &carobrock.ReplicaStatus{
-		ID: c.self.GetId(), Name: r.Name, Role: string(c.role), Term: c.term, Leader: c.leader,
+		ID: c.self.GetId(), Name: r.Name, Role: string(c.role()), Term: c.term, Leader: c.leader,
 		Commit: c.commit, Applied: r.applied, First: c.log.baseIndex + 1, Last: c.log.last(),
 	}
 	for _, m := range c.members.GetMembers() {
 		ms := carobrock.MemberStatus{ID: m.GetId(), Name: m.GetName(), Address: m.GetAddress(), Voter: m.GetVoter()}
-		if c.role == roleLeader {
+		if c.role() == roleLeader {
 			ms.Match = c.matchOf(m.GetId())
 		}
 		if m.GetId() == c.leader {
@@ -304,9 +304,9 @@
 		s.Members = append(s.Members, ms)
 	}
 	r.status.Store(s)
-	if c.role != r.lastRole {
-		r.lastRole = c.role
-		r.Logger.Info().Str("role", string(c.role)).Uint64("term", c.term).Msg("replica: role changed")
+	if now := c.role(); now != r.lastRole {
+		r.lastRole = now
+		r.Logger.Info().Str("role", string(now)).Uint64("term", c.term).Msg("replica: role changed")
 	}
 }
 
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -42,7 +42,7 @@
 // has committed an entry of its own term. Without the second condition two
 // leaders could change the membership into disjoint majorities.
 func (c *core) canChangeMembers() bool {
-	return c.role == roleLeader && c.commit >= c.memberIndex && c.commit >= c.termStart
+	return c.role() == roleLeader && c.commit >= c.memberIndex && c.commit >= c.termStart
 }
 
 // withMember returns ms with m added or replaced.
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -187,7 +187,7 @@
 		change.done <- proposalResult{value: tail}
 		return
 	}
-	if c.role != roleLeader {
+	if c.role() != roleLeader {
 		change.done <- proposalResult{err: ErrNotLeader}
 		return
 	}
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/charter"
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
@@ -127,7 +128,8 @@
 	self := &encoder.Member{Id: state.Incarnation, Name: r.Name, Address: r.Address}
 	c := &core{
 		self: self, election: r.ElectionTimeout, beat: r.HeartbeatInterval, drift: r.MaxDrift, rand: r.Rand,
-		term: state.HardState.GetTerm(), vote: state.HardState.GetVote(), role: roleFollower,
+		term: state.HardState.GetTerm(), vote: state.HardState.GetVote(),
+		chart:   charter.Machine{Chart: charter.MustLoad("replica.yaml"), State: string(roleFollower)},
 		initial: r.Initial, seen: map[string]*encoder.Message{}, addresses: map[uint64]string{}, baseMembers: &encoder.Members{},
 	}
 	if s := state.Snapshot; s != nil {
@@ -142,7 +144,7 @@
 	c.selfDurable = c.log.last()
 	c.refreshMembers()
 	if c.isFresh() && len(r.Initial) > 0 {
-		c.role = roleForming
+		c.chart.State = string(roleForming)
 	}
 	if !c.isFresh() {
 		// This replica may have supported a leader's lease just before it
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -30,7 +30,7 @@
 
 // flush sends new entries to the members that wait for none.
 func (c *core) flush(now time.Time) {
-	if c.role != roleLeader {
+	if c.role() != roleLeader {
 		return
 	}
 	fresh := false
@@ -155,8 +155,8 @@
 
 // hear notes a message of the leader of the current term.
 func (c *core) hear(now time.Time, leader uint64) {
-	if c.role != roleFollower || c.leader != leader {
-		c.follow(now, c.term, leader)
+	if c.role() != roleFollower || c.leader != leader {
+		c.follow(now, eventContacted, c.term, leader)
 	}
 	c.heardLeader = now
 	c.reset(now)
@@ -187,7 +187,7 @@
 
 func (c *core) onAppendAnswer(now time.Time, m *encoder.Message) {
 	p := c.peers[m.GetFrom()]
-	if c.role != roleLeader || m.GetTerm() != c.term || p == nil {
+	if c.role() != roleLeader || m.GetTerm() != c.term || p == nil {
 		return
 	}
 	p.ackedRound = max(p.ackedRound, m.GetRound())
@@ -276,7 +276,7 @@
 // leaseEnd returns until when no other leader can be elected. It is zero unless
 // this replica leads and has committed an entry of its term.
 func (c *core) leaseEnd() time.Time {
-	if c.role != roleLeader || c.commit < c.termStart {
+	if c.role() != roleLeader || c.commit < c.termStart {
 		return time.Time{}
 	}
 	return c.quorumAcked().Add(c.election - c.drift)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -24,7 +24,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, 6)
 				defer w.close()
-				w.loss = 0.05
+				w.setLoss(0.05)
 				w.submit(40, small)
 				stop := make(chan struct{})
 				nemesis := conc.NewWaitGroup()
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -189,6 +189,13 @@
 	}
 }
 
+// setLoss sets the share of messages that are lost.
+func (w *world) setLoss(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loss = share
+}
+
 // passes reports whether a message to or from a worker arrives, after a delay.
 func (w *world) passes(worker string) bool {
 	w.mu.Lock()
