Scheduler: orders never hold up a turn; late orders proved

Cause: mutations showed that no test noticed a worker that begins late orders, or a scheduler that sends starts again into a zone that is out. The test written for it, with every order held up, hung: a turn waits for a free sender while it holds the scheduler's lock, so 64 slow workers would stop all announcements, and with them the renewal of every lease.

Ruled out: the emulated workers and the world of the test; the stack shows sendOrders in Pool.Go with the lock held.

Change: an order that finds no free sender is left for the next turn. TestHeldOrders; TestLifeOfTasks also checks that events of older attempts are rejected.

With the mutations in place TestHeldOrders fails for both.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -146,6 +146,10 @@
 	if before.IsFinal() && !cmp.Equal(before, after) {
 		t.Fatalf("a finished task changed: %s", cmp.Diff(before, after))
 	}
+	old := ch.Attempt != before.Attempt && ch.Event != carobrock.EventAssign && ch.Event != carobrock.EventCancel
+	if old && !rejected {
+		t.Fatalf("%s of attempt %d was taken in attempt %d", ch.Event, ch.Attempt, before.Attempt)
+	}
 	if after.Attempt != before.Attempt {
 		if before.HoldsCapacity() {
 			t.Fatalf("attempt %d was made while attempt %d may be running on %s", after.Attempt, before.Attempt, before.Worker)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc/pool"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 )
@@ -36,7 +36,7 @@
 }
 
 // sendOrders sends what the states of the tasks ask for.
-func (s *Scheduler) sendOrders(orders *pool.Pool, now time.Time) {
+func (s *Scheduler) sendOrders(orders *conc.WaitGroup, now time.Time) {
 	tasks := s.Keeper.Tasks(func(t *carobrock.Task) bool {
 		return t.HoldsCapacity() && t.State != carobrock.TaskRunning
 	})
@@ -55,14 +55,28 @@
 			// The attempt ends when the last order to start it has lapsed.
 			continue
 		}
-		if order := s.order(&t, key.ref); order != nil {
+		if order := s.order(&t, key.ref); order != nil && s.tryGo(orders, order) {
 			live[key] = now
-			orders.Go(order)
 		}
 	}
 	s.sentAt = live
 }
 
+// tryGo sends an order unless too many are on their way. It never waits: a turn
+// that waited for slow workers would hold up the announcements of all others.
+func (s *Scheduler) tryGo(orders *conc.WaitGroup, order func()) bool {
+	select {
+	case s.orderSlots <- struct{}{}:
+	default:
+		return false
+	}
+	orders.Go(func() {
+		defer func() { <-s.orderSlots }()
+		order()
+	})
+	return true
+}
+
 // orderTimeout bounds one order.
 const orderTimeout = 2 * time.Second
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc/pool"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/keeper"
@@ -91,6 +91,8 @@
 	relievedAt time.Time // when workers were last looked at for relief
 	evictAt    time.Time // when the next eviction may be made
 	wake       chan struct{}
+	// orderSlots has an element for each order on its way.
+	orderSlots chan struct{}
 }
 
 // Prepare makes the scheduler ready for its other methods.
@@ -105,6 +107,7 @@
 		s.Turn = DefaultTurn
 	}
 	s.wake = make(chan struct{}, 1)
+	s.orderSlots = make(chan struct{}, maxOrders)
 	s.reset(0)
 }
 
@@ -138,7 +141,7 @@
 
 // Run runs the loop until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
-	orders := pool.New().WithMaxGoroutines(maxOrders)
+	orders := conc.NewWaitGroup()
 	defer orders.Wait()
 	ticker := time.NewTicker(s.Turn)
 	defer ticker.Stop()
@@ -170,7 +173,7 @@
 	return true
 }
 
-func (s *Scheduler) turn(ctx context.Context, orders *pool.Pool) error {
+func (s *Scheduler) turn(ctx context.Context, orders *conc.WaitGroup) error {
 	if !s.lead() {
 		return nil
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -164,6 +164,30 @@
 	}
 }
 
+// TestHeldOrders: every order is held up for 10 s on its way, and meanwhile all
+// zones are taken out. Neither an order that comes late nor one that is sent
+// again may begin an attempt there.
+func TestHeldOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 6)
+		defer w.close()
+		w.setHold(10 * time.Second)
+		w.submit(17, small)
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			w.setZone(fmt.Sprint("az", i), true)
+		}
+		time.Sleep(4 * time.Second)
+		w.setHold(0)
+		end := time.Now().Add(20 * time.Second)
+		w.watch(func() bool { return time.Now().After(end) }, time.Minute)
+		for i := range 3 {
+			w.setZone(fmt.Sprint("az", i), false)
+		}
+		w.watch(w.allIn(carobrock.TaskSucceeded), 5*time.Minute)
+	})
+}
+
 // TestWrongVerdicts: "down" for a VM that works moves nothing and starts
 // nothing; the attempt there goes on.
 func TestWrongVerdicts(t *testing.T) {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -37,6 +37,7 @@
 	workers []*emulator.Worker
 	cut     map[string]bool // workers whose links are cut
 	loss    float64         // share of orders and announcements lost
+	hold    time.Duration   // how long every order is held up
 	running *conc.WaitGroup
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -196,6 +197,13 @@
 	w.loss = share
 }
 
+// setHold sets how long every order is held up on its way.
+func (w *world) setHold(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hold = d
+}
+
 // passes reports whether a message to or from a worker arrives, after a delay.
 func (w *world) passes(worker string) bool {
 	w.mu.Lock()
@@ -253,6 +261,10 @@
 		<-ctx.Done()
 		return errLost
 	}
+	c.w.mu.Lock()
+	hold := c.w.hold
+	c.w.mu.Unlock()
+	time.Sleep(hold)
 	for e.Faults.Frozen.Load() && c.w.ctx.Err() == nil {
 		time.Sleep(50 * time.Millisecond) // it is read when the worker wakes
 	}
