Slots follow demand; requests are refused early when the wait would be long

Cause: measured with real processes: with one of three gateways taking half of the load, equal split gives a p99 of 629 ms at 80 % of the slots; at 300 % the queue let answers take 2.0 s and refusals 1.98 s, with 3 to 5 undecided.

Ruled out: the upstreams and the choice among them: with an even balancer p99 is 25 ms at the same load, so the slots were on the wrong gateways.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -27,7 +27,8 @@
 type Admitter struct {
 	// MaxQueue is the most requests that may wait for one pool. Zero: 1024.
 	MaxQueue int
-	// MaxQueueWait bounds the time that a request may wait. Zero: the
+	// MaxQueueWait bounds the time that a request may wait. A request that is
+	// expected to wait longer is refused at once. Zero: 200 ms. Negative: the
 	// request's deadline alone.
 	MaxQueueWait time.Duration
 	// Rand chooses among upstreams. Nil: seeded at random.
@@ -79,7 +80,10 @@
 	probe   bool
 }
 
-const defaultMaxQueue = 1024
+const (
+	defaultMaxQueue     = 1024
+	defaultMaxQueueWait = 200 * time.Millisecond
+)
 
 // Update puts a new catalog in force.
 func (a *Admitter) Update(c *watcher.Catalog) {
@@ -142,15 +146,15 @@
 // upstream whose address is exclude is used only if there is no other. It fails
 // with ErrNoUpstream, ErrQueueFull, ErrTooLate or the context's error.
 func (a *Admitter) Acquire(ctx context.Context, poolName, exclude string) (*Slot, error) {
-	if a.MaxQueueWait > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, a.MaxQueueWait)
-		defer cancel()
-	}
 	slot, w, p, err := a.enter(ctx, poolName, exclude)
 	if slot != nil || err != nil {
 		return slot, err
 	}
+	if wait := a.maxQueueWait(); wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
 	select {
 	case slot := <-w.slot:
 		if slot == nil {
@@ -181,7 +185,7 @@
 	}
 	w := &waiter{exclude: exclude, slot: make(chan *Slot, 1)}
 	w.deadline, _ = ctx.Deadline()
-	if p.isHopeless(now, w.deadline) {
+	if p.isHopeless(now, w.deadline) || p.isTooLong(a.maxQueueWait()) {
 		return nil, nil, nil, ErrTooLate
 	}
 	p.waiting.PushBack(w)
@@ -195,11 +199,34 @@
 	return a.MaxQueue
 }
 
-// isHopeless reports whether the queue is so long that a request which joins it
-// now is not expected to get a slot before its deadline.
+func (a *Admitter) maxQueueWait() time.Duration {
+	if a.MaxQueueWait == 0 {
+		return defaultMaxQueueWait
+	}
+	return a.MaxQueueWait
+}
+
+// expectedWait returns how long a request that joins the queue now is expected
+// to wait, zero if nothing is known.
+func (p *pool) expectedWait() time.Duration {
+	return time.Duration(p.waiting.Len()+1) * p.interval
+}
+
+// isHopeless reports whether a request that joins the queue now is not expected
+// to get a slot before its deadline.
 func (p *pool) isHopeless(now, deadline time.Time) bool {
-	wait := time.Duration(p.waiting.Len()+1) * p.interval
-	return p.interval > 0 && !deadline.IsZero() && now.Add(wait).After(deadline)
+	return !deadline.IsZero() && p.interval > 0 && now.Add(p.expectedWait()).After(deadline)
+}
+
+// queueShare is the share of the longest wait that a request may be expected to
+// wait when it joins. The rest is for waits that turn out longer than expected,
+// so that few requests are refused only after they have waited.
+const queueShare = 0.5
+
+// isTooLong reports whether a request that joins the queue now is expected to
+// wait so long that it may well exceed most.
+func (p *pool) isTooLong(most time.Duration) bool {
+	return most > 0 && float64(p.expectedWait()) > queueShare*float64(most)
 }
 
 // leave takes w out of the queue. A slot that was handed over meanwhile goes
--- a/internal/controller/gateways.go
+++ b/internal/controller/gateways.go
@@ -18,6 +18,7 @@
 	term       uint64
 	since      time.Time // when the term was first seen here
 	rowsByName map[gatewayID]*gatewayRow
+	damper     granter.Damper
 }
 
 type gatewayID struct{ name, incarnation string }
@@ -28,7 +29,22 @@
 	inForce  uint64
 	settled  uint64
 	draining bool
-	demand   []*encoder.PoolDemand
+	demand   map[string]float64 // smoothed, by pool
+}
+
+// demandWeight is the weight of the newest report in the smoothed demand.
+const demandWeight = 0.5
+
+// noteDemand takes a report of the load.
+func (row *gatewayRow) noteDemand(report []*encoder.PoolDemand) {
+	now := map[string]float64{}
+	for _, d := range report {
+		now[d.GetPool()] = float64(d.GetInFlight() + d.GetQueued())
+	}
+	for pool, old := range row.demand {
+		now[pool] = demandWeight*now[pool] + (1-demandWeight)*old
+	}
+	row.demand = now
 }
 
 // gatewayStateRow is a gateway as operators see it.
@@ -70,7 +86,7 @@
 	row.zone, row.lastSync, row.draining = read.GetAvailabilityZone(), time.Now(), read.GetDraining()
 	row.inForce = max(row.inForce, read.GetInForce())
 	row.settled = max(row.settled, read.GetGrantsSettled())
-	row.demand = read.GetDemand()
+	row.noteDemand(read.GetDemand())
 }
 
 func (r *gatewayRoster) rows(lease time.Duration) []gatewayStateRow {
@@ -115,7 +131,7 @@
 	var out []granter.Gateway
 	for id, row := range r.rowsByName {
 		silent := time.Since(row.lastSync)
-		g := granter.Gateway{Name: id.name, Incarnation: id.incarnation, Settled: row.settled}
+		g := granter.Gateway{Name: id.name, Incarnation: id.incarnation, Settled: row.settled, Demand: row.demand}
 		g.Live = silent < lease && !row.draining
 		g.Expired = silent > lease+longest+grantMargin
 		if g.Expired && silent > forgetGatewayAfter {
@@ -123,6 +139,7 @@
 		}
 		out = append(out, g)
 	}
+	r.damper.Damp(out)
 	return out
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -23,6 +23,8 @@
 	Expired bool
 	// Settled is the version of the grants that the gateway keeps to.
 	Settled uint64
+	// Demand is the smoothed number of requests in flight and waiting, by pool.
+	Demand map[string]float64
 }
 
 // Input is all that Plan looks at.
@@ -43,10 +45,11 @@
 }
 
 // Plan returns the grants that should follow the current ones, ordered by
-// upstream and gateway. Nobody is granted what another may still use, so it can
-// take several plans to reach an equal split.
+// upstream and gateway: slots follow the gateways' demand. Nobody is granted
+// what another may still use, so it can take several plans to get there.
 func Plan(in *Input) []carobrock.Grant {
 	live, settled, expired := sortGateways(in.Gateways)
+	weights := weigh(in, live)
 	rows := map[grantKey]*carobrock.Grant{}
 	for _, g := range in.Current.Rows {
 		h := holder{g.Gateway, g.Incarnation}
@@ -61,8 +64,12 @@
 	services := slices.Clone(in.Services)
 	slices.SortFunc(services, func(a, b carobrock.Service) int { return cmp.Compare(a.Address, b.Address) })
 	share := map[grantKey]int{}
-	for i, s := range services {
-		for j, n := range split(s.Slots, len(live), i) {
+	owed := map[string][]float64{}
+	for _, s := range services {
+		if owed[s.Pool] == nil {
+			owed[s.Pool] = make([]float64, len(live))
+		}
+		for j, n := range split(s.Slots, weights[s.Pool], owed[s.Pool]) {
 			share[grantKey{live[j], s.Address}] = n
 		}
 	}
@@ -88,19 +95,73 @@
 	return live, settled, expired
 }
 
-// split returns n shares of slots that differ by at most one. The larger ones
-// move with the number of the upstream, so that no gateway is always favoured.
-func split(slots, n, upstream int) []int {
-	if n == 0 {
-		return nil
+// weigh returns the weights of the live gateways, in their order, for each pool.
+func weigh(in *Input, live []holder) map[string][]float64 {
+	demand := map[holder]map[string]float64{}
+	for _, g := range in.Gateways {
+		demand[holder{g.Name, g.Incarnation}] = g.Demand
+	}
+	out := map[string][]float64{}
+	for _, s := range in.Services {
+		if out[s.Pool] != nil {
+			continue
+		}
+		want := make([]float64, len(live))
+		for j, h := range live {
+			want[j] = demand[h][s.Pool]
+		}
+		out[s.Pool] = mix(want)
+	}
+	return out
+}
+
+// floorShare is the share of the slots that is split equally whatever the
+// demand, so that a gateway whose load begins has slots at once.
+const floorShare = 0.3
+
+// mix returns weights of which a part is equal and the rest follows want.
+func mix(want []float64) []float64 {
+	sum := 0.0
+	for _, w := range want {
+		sum += w
+	}
+	out := make([]float64, len(want))
+	for j, w := range want {
+		out[j] = 1 / float64(len(want))
+		if sum > 0 {
+			out[j] = floorShare*out[j] + (1-floorShare)*w/sum
+		}
+	}
+	return out
+}
+
+// split returns whole shares of slots by weight: what exceeds whole numbers goes
+// to those who are owed most, as in the method of largest remainders (Hamilton).
+// What remains owed is carried on to the next upstream in owed, so that the sums
+// over many upstreams follow the weights.
+func split(slots int, weights, owed []float64) []int {
+	n := len(weights)
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
 	}
 	shares := make([]int, n)
-	rest := slots % n
-	for j := range shares {
-		shares[j] = slots / n
+	if n == 0 || sum == 0 {
+		return shares
+	}
+	left := slots
+	order := make([]int, n)
+	for j, w := range weights {
+		exact := float64(slots) * w / sum
+		shares[j] = int(exact)
+		owed[j] += exact - float64(shares[j])
+		left -= shares[j]
+		order[j] = j
 	}
-	for j := range rest {
-		shares[(upstream*rest+j)%n]++
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(owed[b], owed[a]) })
+	for _, j := range order[:left] {
+		shares[j]++
+		owed[j]--
 	}
 	return shares
 }
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -71,6 +71,8 @@
 	DrainDelay time.Duration `long:"drainDelay" env:"CAROBROCK_DRAIN_DELAY" default:"2s" description:"time that new connections are still served after SIGTERM"`
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64 `long:"maxBodyBytes" env:"CAROBROCK_MAX_BODY_BYTES" default:"16777216" description:"largest request body in bytes"`
+	// MaxQueueWait bounds the time that a request may wait for a slot.
+	MaxQueueWait time.Duration `long:"maxQueueWait" env:"CAROBROCK_MAX_QUEUE_WAIT" default:"200ms" description:"longest wait for a slot, 1ms to 1m"`
 	// MaxQueue bounds the requests that wait for one pool.
 	MaxQueue int `long:"maxQueue" env:"CAROBROCK_MAX_QUEUE" default:"1024" description:"most requests that wait for one pool"`
 }
@@ -196,6 +198,9 @@
 	if s.StaleAfter < time.Second || s.StaleAfter > time.Minute {
 		return bad("--staleAfter %s is not in 1s to 1m", s.StaleAfter)
 	}
+	if s.MaxQueueWait < time.Millisecond || s.MaxQueueWait > time.Minute {
+		return bad("--maxQueueWait %s is not in 1ms to 1m", s.MaxQueueWait)
+	}
 	if s.DrainDelay < 0 || s.MaxBodyBytes <= 0 || s.MaxQueue <= 0 {
 		return bad("--drainDelay, --maxBodyBytes and --maxQueue cannot be negative or zero")
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -69,9 +69,9 @@
 	defaultWait       = time.Second
 	// callSlack is what a call may take beyond the time that it asks to wait.
 	callSlack = 700 * time.Millisecond
-	// drainWaitMillis is the wait asked for before the first confirmation and
-	// while the gateway drains.
-	drainWaitMillis = 20
+	// shortWaitMillis is the wait asked for before the first confirmation, while
+	// the gateway drains and while it uses more than it is granted.
+	shortWaitMillis = 20
 	// retryPause is the time between attempts after a failed call.
 	retryPause = 100 * time.Millisecond
 )
@@ -173,7 +173,7 @@
 		InForce: w.model.index, WaitMillis: w.Wait.Milliseconds(), Draining: w.draining.Load(),
 	}
 	if w.confirmed.Load() == nil || w.draining.Load() {
-		req.WaitMillis = drainWaitMillis
+		req.WaitMillis = shortWaitMillis
 	}
 	if w.Demand != nil {
 		req.Demand = w.Demand()
@@ -182,6 +182,10 @@
 	if w.Settled != nil {
 		req.GrantsSettled = w.Settled(w.model.grants.Version)
 	}
+	if req.GetGrantsSettled() < w.model.grants.Version {
+		// Other gateways wait for the slots that this one is to give up.
+		req.WaitMillis = shortWaitMillis
+	}
 	return req
 }
 
