--- a/internal/launcher/gateways_test.go
+++ b/internal/launcher/gateways_test.go
@@ -25,6 +25,7 @@
 	replicas []string // addresses for gateways
 	admin    *client.Client
 	workers  []*emulator.Worker
+	leave    []context.CancelFunc // of the workers
 	running  *conc.WaitGroup
 	stops    []context.CancelFunc
 }
@@ -51,7 +52,7 @@
 			t.Fatal(err)
 		}
 		s.workers = append(s.workers, w)
-		s.run(w.Run)
+		s.leave = append(s.leave, s.run(w.Run))
 	}
 	t.Cleanup(func() {
 		for _, stop := range s.stops {
@@ -212,3 +213,104 @@
 	inFlight, connections := w.Most()
 	return seenByWorker{inFlight, connections}
 }
+
+// waitReady returns when the gateway serves.
+func (tg *testGateway) waitReady(t *testing.T) {
+	t.Helper()
+	for start := time.Now(); !tg.gateway.gateway.IsReady(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(start) > 20*time.Second {
+			t.Fatal("the gateway is not ready")
+		}
+	}
+}
+
+// TestLeavingUpstream: a worker that says that it leaves, and ends 3 s later,
+// gets no new request by then: none of the callers sees anything but an answer.
+func TestLeavingUpstream(t *testing.T) {
+	s := newSystem(t, 2)
+	g := s.startGateway("g1")
+	g.waitReady(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	byWorker := map[string]int{}
+	callers := conc.NewWaitGroup()
+	for range 6 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				res, err := http.Post("http://"+g.address+"/x", "text/plain", strings.NewReader("tow"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				body, err := io.ReadAll(res.Body)
+				_ = res.Body.Close()
+				if err != nil || res.StatusCode != http.StatusOK {
+					t.Errorf("status %d, %v: %s", res.StatusCode, err, body)
+					return
+				}
+				mu.Lock()
+				for _, w := range s.workers {
+					if strings.Contains(string(body), `"worker":"`+w.Name+`"`) {
+						byWorker[w.Name]++
+					}
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	s.leave[0]()
+	time.Sleep(2500 * time.Millisecond)
+	mu.Lock()
+	before := byWorker["w0"]
+	mu.Unlock()
+	time.Sleep(2 * time.Second)
+	cancel()
+	callers.Wait()
+	if before == 0 || byWorker["w0"] != before {
+		t.Errorf("the leaving worker answered %d requests in 2.5 s and %d more afterwards", before, byWorker["w0"]-before)
+	}
+	if byWorker["w1"] == 0 {
+		t.Error("the other worker answered nothing")
+	}
+}
+
+// TestKeyThroughTwoGateways: a request with an idempotency key that is sent
+// again through another gateway runs once and gets the recorded answer.
+func TestKeyThroughTwoGateways(t *testing.T) {
+	s := newSystem(t, 1)
+	first, second := s.startGateway("g1"), s.startGateway("g2")
+	first.waitReady(t)
+	second.waitReady(t)
+	post := func(g *testGateway, body string) (status int, replayed, content string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+g.address+"/payout", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set(carobrock.HeaderIdempotencyKey, "crate-17")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = res.Body.Close() }()
+		data, err := io.ReadAll(res.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode, res.Header.Get("Carobrock-Replayed"), string(data)
+	}
+	status, replayed, content := post(first, "10")
+	if status != http.StatusOK || replayed != "" {
+		t.Fatalf("first: %d, replayed %q", status, replayed)
+	}
+	if again, mark, body := post(second, "10"); again != http.StatusOK || mark != "true" || body != content {
+		t.Errorf("resend: %d, replayed %q, %q, want %q", again, mark, body, content)
+	}
+	if status, _, _ := post(second, "20"); status != http.StatusUnprocessableEntity {
+		t.Errorf("the key for another request: %d", status)
+	}
+	if !strings.Contains(content, `"run":1`) {
+		t.Errorf("first answer %q", content)
+	}
+}
