Housekeeping; choice without allocations; tests of router and admitter

Cause: read as a newcomer: nothing ever dropped silent workers or expired idempotency keys, so both would grow without bound; Gateway.Handler and a wrapper around proto.Marshal had no use; router and admitter had no tests of their own.

Change: the leader's loop keeps house once a minute; dead code removed; the random choice draws while it looks (reservoir) and keeps no lists; tests and benchmarks.

TestHousekeeping passes; without the call to housekeep it cannot.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -268,36 +268,53 @@
 // Balancing", 2001). Ejected upstreams are left out unless a probe is due or
 // nothing else is left.
 func (a *Admitter) choose(p *pool, exclude string, now time.Time) (u *upstream, probe bool) {
-	var free, excluded, ejected []*upstream
+	var free, excluded, ejected draw
 	for _, m := range p.members {
 		if !m.usable || m.inFlight >= m.slots {
 			continue
 		}
 		switch {
 		case m.address == exclude:
-			excluded = append(excluded, m)
+			excluded.add(a, m)
 		case m.health.isProbeDue(now):
 			return m, true
 		case m.health.isEjected(now):
-			ejected = append(ejected, m)
+			ejected.add(a, m)
 		default:
-			free = append(free, m)
+			free.add(a, m)
 		}
 	}
-	for _, group := range [][]*upstream{free, excluded, ejected} {
-		if len(group) > 0 {
-			return a.betterOfTwo(group), false
+	for _, d := range []*draw{&free, &excluded, &ejected} {
+		if d.n > 0 {
+			return d.better(), false
 		}
 	}
 	return nil, false
 }
 
-func (a *Admitter) betterOfTwo(group []*upstream) *upstream {
-	x, y := group[a.intN(len(group))], group[a.intN(len(group))]
-	if y.score() < x.score() {
-		return y
+// draw draws two upstreams at random, with replacement, from those that are
+// added one by one (Vitter, "Random Sampling with a Reservoir", 1985).
+type draw struct {
+	n    int
+	x, y *upstream
+}
+
+func (d *draw) add(a *Admitter, u *upstream) {
+	d.n++
+	if a.intN(d.n) == 0 {
+		d.x = u
+	}
+	if a.intN(d.n) == 0 {
+		d.y = u
+	}
+}
+
+// better returns the one of the two that is expected to answer sooner.
+func (d *draw) better() *upstream {
+	if d.y.score() < d.x.score() {
+		return d.y
 	}
-	return x
+	return d.x
 }
 
 func (a *Admitter) intN(n int) int {
--- /dev/null
+++ b/internal/admitter/admitter_test.go
@@ -0,0 +1,195 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/watcher"
+)
+
+// newCatalog returns a catalog of one pool with upstreams u0, u1 and so on.
+func newCatalog(version uint64, slots ...int) *watcher.Catalog {
+	c := &watcher.Catalog{GrantsVersion: version, Upstreams: map[string]*watcher.Upstream{}}
+	p := &watcher.PoolView{Pool: carobrock.Pool{Name: "p"}}
+	for i, n := range slots {
+		u := &watcher.Upstream{Address: fmt.Sprint("u", i), Slots: n, Usable: true}
+		c.Upstreams[u.Address] = u
+		p.Upstreams = append(p.Upstreams, u)
+	}
+	c.Pools = map[string]*watcher.PoolView{"p": p}
+	return c
+}
+
+func newAdmitter(slots ...int) *Admitter {
+	a := &Admitter{Rand: rand.New(rand.NewPCG(1, 1))}
+	a.Update(newCatalog(1, slots...))
+	return a
+}
+
+func mustAcquire(t *testing.T, a *Admitter) *Slot {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s, err := a.Acquire(ctx, "p", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmitter(1)
+		a.MaxQueue = 1
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if _, err := a.Acquire(ctx, "nosuch", ""); !errors.Is(err, ErrNoUpstream) {
+			t.Errorf("unknown pool: %v", err)
+		}
+		held := mustAcquire(t, a)
+		group := conc.NewWaitGroup()
+		start := time.Now()
+		group.Go(func() {
+			if _, err := a.Acquire(ctx, "p", ""); !errors.Is(err, ErrTooLate) {
+				t.Errorf("a wait without end: %v", err)
+			}
+			if took := time.Since(start); took != defaultMaxQueueWait {
+				t.Errorf("refused after %v, want %v", took, defaultMaxQueueWait)
+			}
+		})
+		synctest.Wait()
+		if _, err := a.Acquire(ctx, "p", ""); !errors.Is(err, ErrQueueFull) {
+			t.Errorf("queue full: %v", err)
+		}
+		group.Wait()
+		held.Release(ResultOK)
+		mustAcquire(t, a).Release(ResultOK)
+		if n := a.InFlight(); n != 0 {
+			t.Errorf("%d slots are still held", n)
+		}
+	})
+}
+
+// Those who wait get slots in the order in which they came.
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmitter(1)
+		a.MaxQueueWait = -1
+		held := mustAcquire(t, a)
+		var order []int
+		group := conc.NewWaitGroup()
+		for i := range 10 {
+			group.Go(func() {
+				s, err := a.Acquire(context.Background(), "p", "")
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				order = append(order, i) // one at a time: there is one slot
+				time.Sleep(time.Millisecond)
+				s.Release(ResultOK)
+			})
+			synctest.Wait()
+		}
+		held.Release(ResultOK)
+		group.Wait()
+		for i, n := range order {
+			if i != n {
+				t.Errorf("order %v", order)
+				break
+			}
+		}
+	})
+}
+
+// An upstream that fails three times in a row is left out for a second, then
+// one request tries it.
+func TestEjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmitter(100, 100)
+		for a.upstreams["u0"].health.failures < failuresToEject {
+			s := mustAcquire(t, a)
+			if s.Address == "u0" {
+				s.Release(ResultFailed)
+			} else {
+				s.Release(ResultOK)
+			}
+		}
+		for range 50 {
+			s := mustAcquire(t, a)
+			if s.Address == "u0" {
+				t.Fatal("an ejected upstream got a request")
+			}
+			s.Release(ResultOK)
+		}
+		time.Sleep(firstEjection)
+		probe := mustAcquire(t, a)
+		if probe.Address != "u0" {
+			t.Fatal("no probe after the ejection")
+		}
+		for range 50 {
+			s := mustAcquire(t, a)
+			if s.Address == "u0" {
+				t.Fatal("a second probe at the same time")
+			}
+			s.Release(ResultOK)
+		}
+		probe.Release(ResultOK)
+		seen := false
+		for range 50 {
+			s := mustAcquire(t, a)
+			seen = seen || s.Address == "u0"
+			s.Release(ResultOK)
+		}
+		if !seen {
+			t.Error("the upstream was not taken back after a good probe")
+		}
+	})
+}
+
+// A shrunk grant is settled only when no more slots are used than it has.
+func TestSettled(t *testing.T) {
+	a := newAdmitter(2)
+	first, second := mustAcquire(t, a), mustAcquire(t, a)
+	a.Update(newCatalog(2, 1))
+	if got := a.Settled(2); got != 0 {
+		t.Errorf("settled at version %d with 2 of 1 slots used", got)
+	}
+	first.Release(ResultOK)
+	if got := a.Settled(2); got != 2 {
+		t.Errorf("settled at version %d with 1 of 1 slots used, want 2", got)
+	}
+	if got := a.Settled(3); got != 0 {
+		t.Errorf("settled at version %d that is not in force", got)
+	}
+	second.Release(ResultOK)
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, upstreams := range []int{2, 50, 440} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			slots := make([]int, upstreams)
+			for i := range slots {
+				slots[i] = 8
+			}
+			a := newAdmitter(slots...)
+			ctx := context.Background()
+			b.ReportAllocs()
+			for b.Loop() {
+				s, err := a.Acquire(ctx, "p", "")
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.Release(ResultOK)
+			}
+		})
+	}
+}
--- a/internal/keeper/keys.go
+++ b/internal/keeper/keys.go
@@ -70,3 +70,15 @@
 		}
 	}
 }
+
+// HasKeysBefore reports whether a key was claimed before a wall-clock time.
+func (k *Keeper) HasKeysBefore(unixSec int64) bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	for _, row := range k.state.Keys {
+		if row.AtUnixSec < unixSec {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/launcher/gateway.go
+++ b/internal/launcher/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"expvar"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -121,6 +120,3 @@
 		Str("operations", g.gateway.Operations.Addr().String()).Msg("gateway: started")
 	return g.gateway.Run(ctx, cut)
 }
-
-// Handler returns the callers' handler, for tests.
-func (g *Gateway) Handler() http.Handler { return g.gateway }
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
 )
@@ -309,8 +307,3 @@
 		r.Logger.Info().Str("role", string(now)).Uint64("term", c.term).Msg("replica: role changed")
 	}
 }
-
-// marshalMembers returns the data of a membership entry.
-func marshalMembers(ms *encoder.Members) ([]byte, error) {
-	return proto.Marshal(ms)
-}
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carobrock/carobrock/internal/encoder"
 )
@@ -208,7 +209,7 @@
 		change.done <- proposalResult{err: err}
 		return
 	}
-	data, err := marshalMembers(next)
+	data, err := proto.Marshal(next)
 	if err != nil {
 		change.done <- proposalResult{err: err}
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -78,19 +78,23 @@
 	Lease time.Duration
 	// Period is the time between announcements. Zero: DefaultPeriod.
 	Period time.Duration
+	// KeyRetention is how long idempotency keys are kept. Zero:
+	// DefaultKeyRetention.
+	KeyRetention time.Duration
 	// Turn is the time between turns of the loop. Zero: DefaultTurn.
 	Turn time.Duration
 	// Logger takes the log.
 	Logger zerolog.Logger
 
-	mu         sync.Mutex
-	term       uint64
-	roster     *roster
-	waiting    map[string]string // why a queued task waits, by task
-	sentAt     map[orderKey]time.Time
-	relievedAt time.Time // when workers were last looked at for relief
-	evictAt    time.Time // when the next eviction may be made
-	wake       chan struct{}
+	mu          sync.Mutex
+	term        uint64
+	roster      *roster
+	waiting     map[string]string // why a queued task waits, by task
+	sentAt      map[orderKey]time.Time
+	housekeptAt time.Time // used by the loop alone
+	relievedAt  time.Time // when workers were last looked at for relief
+	evictAt     time.Time // when the next eviction may be made
+	wake        chan struct{}
 	// orderSlots has an element for each order on its way.
 	orderSlots chan struct{}
 }
@@ -103,6 +107,9 @@
 	if s.Period == 0 {
 		s.Period = DefaultPeriod
 	}
+	if s.KeyRetention == 0 {
+		s.KeyRetention = DefaultKeyRetention
+	}
 	if s.Turn == 0 {
 		s.Turn = DefaultTurn
 	}
@@ -186,7 +193,7 @@
 		return err
 	}
 	s.sendOrders(orders, time.Now())
-	return nil
+	return s.housekeep(ctx, time.Now())
 }
 
 // commit proposes task changes, if there are any.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -281,3 +281,32 @@
 		}
 	})
 }
+
+// TestHousekeeping: a worker that is silent for good is dropped, one that holds
+// an attempt is kept until that is over, and old keys go.
+func TestHousekeeping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 3)
+		defer w.close()
+		w.propose(&carobrock.Command{ClaimKeys: &carobrock.ClaimKeys{Changes: []carobrock.KeyChange{
+			{Key: "k", Owner: "o", Action: carobrock.KeyActionClaim, AtUnixSec: time.Now().Unix()},
+		}}})
+		time.Sleep(3 * time.Second)
+		w.all()[0].Faults.Mute.Store(true)
+		time.Sleep(9 * time.Minute)
+		if n := len(w.keeper.Workers()); n != 3 {
+			t.Errorf("%d workers after 9 min, want 3", n)
+		}
+		time.Sleep(3 * time.Minute)
+		if n := len(w.keeper.Workers()); n != 2 {
+			t.Errorf("%d workers after 12 min, want 2", n)
+		}
+		if !w.keeper.HasKeysBefore(time.Now().Unix()) {
+			t.Error("a key is gone after 12 min")
+		}
+		time.Sleep(testKeyRetention)
+		if w.keeper.HasKeysBefore(time.Now().Unix()) {
+			t.Error("a key is there when its retention is over")
+		}
+	})
+}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -53,7 +53,10 @@
 	scheduler *scheduler.Scheduler
 }
 
-const leaderLease = 600 * time.Millisecond
+const (
+	leaderLease      = 600 * time.Millisecond
+	testKeyRetention = 20 * time.Minute
+)
 
 func (c *candidate) Term() (uint64, bool) {
 	c.w.mu.Lock()
@@ -99,6 +102,7 @@
 		c := &candidate{w: w, number: i}
 		c.scheduler = &scheduler.Scheduler{
 			Keeper: w.keeper, Leadership: c, Proposer: c, Placer: placer.FirstFit{}, Orders: c, Logger: zerolog.Nop(),
+			KeyRetention: testKeyRetention,
 		}
 		c.scheduler.Prepare()
 		w.leads = append(w.leads, c)
