--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -310,3 +312,34 @@
 		}
 	})
 }
+
+// TestNameOfTwoVMs: a second VM that announces a worker's name is refused while
+// the first one's lease lives, and taken when it has run out.
+func TestNameOfTwoVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 1)
+		defer w.close()
+		time.Sleep(3 * time.Second)
+		first := w.all()[0]
+		second := &carobrock.Announcement{Worker: first.Worker, SentMillis: 1}
+		second.VM, second.Incarnation = "vm-other", "other"
+		announce := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := w.leads[0].scheduler.Announce(ctx, second)
+			return err
+		}
+		if err := announce(); !errors.Is(err, carobrock.ErrNameTaken) {
+			t.Errorf("while the first lives: %v, want ErrNameTaken", err)
+		}
+		first.Faults.Mute.Store(true)
+		time.Sleep(4 * time.Second)
+		if err := announce(); !errors.Is(err, carobrock.ErrNameTaken) {
+			t.Errorf("while the first one's lease lives: %v, want ErrNameTaken", err)
+		}
+		time.Sleep(4 * time.Second)
+		if err := announce(); err != nil {
+			t.Errorf("after the first one's lease: %v", err)
+		}
+	})
+}
