Silent connections to upstreams: give up early, distrust idle ones

With all open connections silenced, every request over one of them waited for the route's timeout and ended undecided; TestSilentConnections shows it when the mechanisms are taken out.

Ruled out as enough: TCP keepalive and TCP_USER_TIMEOUT, since a firewall that still acknowledges, or an upstream that lost the connection's state, does not trip them.

Change: as docs/design.md says: a limit on the time to the first byte over used connections for idempotent requests, after which all idle connections close; no idle connections for other requests after 1 s without an answer.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -72,6 +72,8 @@
 type Slot struct {
 	// Address is the upstream's address.
 	Address string
+	// Latency is the upstream's smoothed time to an answer, zero if unknown.
+	Latency time.Duration
 
 	a       *Admitter
 	u       *upstream
@@ -260,7 +262,7 @@
 	if probe {
 		u.health.probing = true
 	}
-	return &Slot{Address: u.address, a: a, u: u, p: p, started: now, probe: probe}
+	return &Slot{Address: u.address, Latency: u.health.latency, a: a, u: u, p: p, started: now, probe: probe}
 }
 
 // choose returns an upstream with a free slot, or nil: the better of two drawn
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -26,9 +26,13 @@
 // tracker notes over which connections an attempt went and how much was
 // written to each before.
 type tracker struct {
-	mu    sync.Mutex
-	conn  *countedConn
-	start int64
+	mu     sync.Mutex
+	conn   *countedConn
+	start  int64
+	reused bool
+	// onReuse is called when the request goes over a connection that was used
+	// before.
+	onReuse func()
 }
 
 func (t *tracker) gotConn(info httptrace.GotConnInfo) {
@@ -38,8 +42,19 @@
 		return
 	}
 	if c, ok := info.Conn.(*countedConn); ok {
-		t.conn, t.start = c, c.written.Load()
+		t.conn, t.start, t.reused = c, c.written.Load(), info.Reused
 	}
+	if info.Reused {
+		t.onReuse()
+	}
+}
+
+// isReused reports whether the request went over a connection that was used
+// before.
+func (t *tracker) isReused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reused
 }
 
 // wrote reports whether a byte of the request may have left.
@@ -60,11 +75,22 @@
 	defer func() { slot.Release(result) }()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	t := &tracker{}
+	l := x.f.line(slot.Address)
+	if !x.idempotent {
+		l.distrust()
+	}
+	impatience := x.impatience(cancel)
+	defer impatience.Stop()
+	t := &tracker{onReuse: func() { impatience.Reset(x.patience(slot)) }}
 	body := x.body.reader()
 	req := x.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), slot.Address, body)
-	res, err := x.f.line(slot.Address).transport.RoundTrip(req)
+	res, err := l.transport.RoundTrip(req)
+	impatience.Stop()
 	if err != nil {
+		if t.wrote() && t.isReused() {
+			// The other idle connections may be as silent as this one.
+			l.transport.CloseIdleConnections()
+		}
 		if x.r.Context().Err() != nil || errors.Is(err, errNoConnection) {
 			result = admitter.ResultUnused
 		}
@@ -75,10 +101,43 @@
 	a.bodyUsed = true
 	if a.refusal == nil {
 		result = admitter.ResultOK
+		l.noteAnswer()
 	}
 	return a
 }
 
+// Bounds of the time to the first byte of an answer over a connection that was
+// used before.
+const (
+	leastPatience    = 100 * time.Millisecond
+	patienceLatency  = 10  // times the upstream's usual latency
+	patienceDeadline = 0.5 // share of the time that the request has left
+)
+
+// impatience returns a stopped timer that cancels an attempt. Only an attempt of
+// an idempotent request is ever given up early: it can be sent again over a new
+// connection.
+func (x *exchange) impatience(cancel context.CancelFunc) *time.Timer {
+	timer := time.AfterFunc(time.Hour, func() {
+		if x.idempotent {
+			cancel()
+		}
+	})
+	timer.Stop()
+	return timer
+}
+
+// patience returns how long an attempt over a connection that was used before
+// may go without the first byte of an answer.
+func (x *exchange) patience(slot *admitter.Slot) time.Duration {
+	patience := max(leastPatience, patienceLatency*slot.Latency)
+	if deadline, ok := x.ctx.Deadline(); ok {
+		left := time.Duration(patienceDeadline * float64(time.Until(deadline)))
+		patience = min(patience, left)
+	}
+	return patience
+}
+
 // outgoing builds the request to the upstream.
 func (x *exchange) outgoing(ctx context.Context, address string, body io.ReadCloser) *http.Request {
 	req := &http.Request{
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -56,6 +56,30 @@
 	mu        sync.Mutex
 	open      int
 	limit     int
+	// answeredAt is when the last whole answer came.
+	answeredAt time.Time
+}
+
+// freshAfter is how long a line may have been without an answer before its idle
+// connections are not used for a request that cannot be repeated: something
+// between the two ends may have lost track of them.
+const freshAfter = time.Second
+
+// noteAnswer notes that the connections work.
+func (l *line) noteAnswer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answeredAt = time.Now()
+}
+
+// distrust closes the idle connections if no answer came for a while.
+func (l *line) distrust() {
+	l.mu.Lock()
+	old := time.Since(l.answeredAt) > freshAfter
+	l.mu.Unlock()
+	if old {
+		l.transport.CloseIdleConnections()
+	}
 }
 
 func newLine(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *line {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -381,3 +381,51 @@
 		t.Errorf("%d runs, want 1", u.ran())
 	}
 }
+
+// TestSilentConnections: all open connections to the upstream go silent for
+// good, while new ones work. An idempotent request is answered all the same; of
+// the others, those that come after a pause are, too, and never does one run
+// twice.
+func TestSilentConnections(t *testing.T) {
+	for _, method := range []string{http.MethodPut, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var mu sync.Mutex
+			silent := map[net.Conn]bool{}
+			var seen []net.Conn
+			u := newRawUpstream(t, func(c net.Conn, _ int, r *http.Request) {
+				mu.Lock()
+				seen = append(seen, c)
+				quiet := silent[c]
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				if !quiet {
+					whole(c, r, r.URL.Path)
+				}
+			})
+			_, s := newForwarder(t, nil, 8, u.address())
+			group := conc.NewWaitGroup()
+			for i := range 8 {
+				group.Go(func() { call(t, s.URL+fmt.Sprint("/", i), method, "", "") })
+			}
+			group.Wait()
+			mu.Lock()
+			for _, c := range seen {
+				silent[c] = true
+			}
+			mu.Unlock()
+			if method == http.MethodPost {
+				time.Sleep(freshAfter + 100*time.Millisecond)
+			}
+			before := u.ran()
+			for i := range 5 {
+				path := fmt.Sprint("/after", i)
+				if got, content := call(t, s.URL+path, method, "", ""); got != "whole" || content != path {
+					t.Errorf("request %d got %q, %q", i, got, content)
+				}
+			}
+			if ran := u.ran() - before; method == http.MethodPost && ran != 5 {
+				t.Errorf("%d runs of 5 requests that cannot be repeated", ran)
+			}
+		})
+	}
+}
