Expected wait by Little's law; readiness waits for the slots

A refusal showed waiting=5, slots=10, latency 22 ms, but 19 ms taken for the time between free slots: all slots were taken at once, so the first sample was a whole service time and the smoothing kept it.

Change: expected wait = place in the queue x time a slot is held / slots. Readiness waits for nine tenths of the slots that the leader has planned.

--- a/command.go
+++ b/command.go
@@ -104,6 +104,8 @@
 	Slots int `json:"slots"`
 	// Connections is how many connections the gateway may hold there.
 	Connections int `json:"connections"`
+	// Wanted is how many slots the gateway is to get as others give them up.
+	Wanted int `json:"wanted,omitempty"`
 	// Held is the most slots that the gateway may still use, because it has not
 	// yet said that it keeps to a smaller grant. It is at least Slots.
 	Held int `json:"held"`
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -18,6 +18,8 @@
 	ErrNoUpstream = eris.New("admitter: the pool has no usable upstream")
 	// ErrQueueFull reports that too many requests wait for the pool.
 	ErrQueueFull = eris.New("admitter: the queue of the pool is full")
+	// ErrOverloaded reports that the wait to expect is too long.
+	ErrOverloaded = eris.New("admitter: the pool is overloaded")
 	// ErrTooLate reports that the request cannot get a slot within its deadline.
 	ErrTooLate = eris.New("admitter: no slot is free within the deadline")
 )
@@ -27,8 +29,12 @@
 type Admitter struct {
 	// MaxQueue is the most requests that may wait for one pool. Zero: 1024.
 	MaxQueue int
-	// MaxQueueWait bounds the time that a request may wait. A request that is
-	// expected to wait longer is refused at once. Zero: 200 ms. Negative: the
+	// MaxExpectedWait bounds the wait that a request may expect when it comes;
+	// if it is longer, the request is refused at once. Zero: 100 ms. Negative:
+	// no bound.
+	MaxExpectedWait time.Duration
+	// MaxQueueWait bounds the time that a request does wait, which can be longer
+	// than expected while slots move between gateways. Zero: 1 s. Negative: the
 	// request's deadline alone.
 	MaxQueueWait time.Duration
 	// Rand chooses among upstreams. Nil: seeded at random.
@@ -52,12 +58,9 @@
 
 // pool is the queue and the members of one pool.
 type pool struct {
-	name    string
-	members []*upstream
-	waiting list.List // of *waiter
-	// interval is the smoothed time between two slots that came free.
-	interval time.Duration
-	lastFree time.Time
+	name     string
+	members  []*upstream
+	waiting  list.List // of *waiter
 	inFlight int
 }
 
@@ -83,8 +86,9 @@
 }
 
 const (
-	defaultMaxQueue     = 1024
-	defaultMaxQueueWait = 200 * time.Millisecond
+	defaultMaxQueue        = 1024
+	defaultMaxExpectedWait = 100 * time.Millisecond
+	defaultMaxQueueWait    = time.Second
 )
 
 // Update puts a new catalog in force.
@@ -146,7 +150,8 @@
 
 // Acquire returns a slot of the pool, waiting for one until ctx ends. An
 // upstream whose address is exclude is used only if there is no other. It fails
-// with ErrNoUpstream, ErrQueueFull, ErrTooLate or the context's error.
+// with ErrNoUpstream, ErrQueueFull, ErrOverloaded, ErrTooLate or the context's
+// error.
 func (a *Admitter) Acquire(ctx context.Context, poolName, exclude string) (*Slot, error) {
 	slot, w, p, err := a.enter(ctx, poolName, exclude)
 	if slot != nil || err != nil {
@@ -187,8 +192,8 @@
 	}
 	w := &waiter{exclude: exclude, slot: make(chan *Slot, 1)}
 	w.deadline, _ = ctx.Deadline()
-	if p.isHopeless(now, w.deadline) || p.isTooLong(a.maxQueueWait()) {
-		return nil, nil, nil, ErrTooLate
+	if p.isHopeless(now, w.deadline) || p.isTooLong(a.maxExpectedWait()) {
+		return nil, nil, nil, ErrOverloaded
 	}
 	p.waiting.PushBack(w)
 	return nil, w, p, nil
@@ -208,27 +213,43 @@
 	return a.MaxQueueWait
 }
 
+func (a *Admitter) maxExpectedWait() time.Duration {
+	if a.MaxExpectedWait == 0 {
+		return defaultMaxExpectedWait
+	}
+	return a.MaxExpectedWait
+}
+
 // expectedWait returns how long a request that joins the queue now is expected
-// to wait, zero if nothing is known.
+// to wait, by Little's law: while all slots are used, as many come free in a
+// second as there are slots, divided by the time that each is held. It is zero
+// if nothing is known.
 func (p *pool) expectedWait() time.Duration {
-	return time.Duration(p.waiting.Len()+1) * p.interval
+	slots := 0
+	held := time.Duration(0)
+	for _, m := range p.members {
+		if m.usable {
+			slots += m.slots
+			held += time.Duration(m.slots) * m.health.latency
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	each := held / time.Duration(slots)
+	return time.Duration(p.waiting.Len()+1) * each / time.Duration(slots)
 }
 
 // isHopeless reports whether a request that joins the queue now is not expected
 // to get a slot before its deadline.
 func (p *pool) isHopeless(now, deadline time.Time) bool {
-	return !deadline.IsZero() && p.interval > 0 && now.Add(p.expectedWait()).After(deadline)
+	return !deadline.IsZero() && now.Add(p.expectedWait()).After(deadline)
 }
 
-// queueShare is the share of the longest wait that a request may be expected to
-// wait when it joins. The rest is for waits that turn out longer than expected,
-// so that few requests are refused only after they have waited.
-const queueShare = 0.5
-
 // isTooLong reports whether a request that joins the queue now is expected to
-// wait so long that it may well exceed most.
+// wait longer than most.
 func (p *pool) isTooLong(most time.Duration) bool {
-	return most > 0 && float64(p.expectedWait()) > queueShare*float64(most)
+	return most > 0 && p.expectedWait() > most
 }
 
 // leave takes w out of the queue. A slot that was handed over meanwhile goes
@@ -366,7 +387,6 @@
 	s.u.inFlight--
 	s.p.inFlight--
 	s.u.health.record(result, now, now.Sub(s.started), s.probe)
-	s.p.noteFree(now)
 	if s.u.inFlight >= s.u.slots {
 		return
 	}
@@ -378,16 +398,6 @@
 // smoothing is the weight of the newest value in a smoothed one.
 const smoothing = 0.1
 
-func (p *pool) noteFree(now time.Time) {
-	if !p.lastFree.IsZero() && p.waiting.Len() > 0 {
-		p.interval = smooth(p.interval, now.Sub(p.lastFree))
-	}
-	if p.waiting.Len() == 0 {
-		p.interval = 0
-	}
-	p.lastFree = now
-}
-
 func smooth(old, value time.Duration) time.Duration {
 	if old == 0 {
 		return value
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -229,8 +229,10 @@
 		return slot, nil
 	case errors.Is(err, admitter.ErrNoUpstream):
 		return nil, notRun(http.StatusServiceUnavailable, "the pool has no usable upstream")
-	case errors.Is(err, admitter.ErrQueueFull), errors.Is(err, admitter.ErrTooLate):
+	case errors.Is(err, admitter.ErrQueueFull), errors.Is(err, admitter.ErrOverloaded):
 		return nil, notRun(http.StatusServiceUnavailable, "the pool is overloaded")
+	case errors.Is(err, admitter.ErrTooLate):
+		return nil, notRun(http.StatusServiceUnavailable, "no slot was free in time")
 	default:
 		return nil, notRun(http.StatusServiceUnavailable, "the caller gave up waiting")
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -58,6 +58,7 @@
 	Logger zerolog.Logger
 
 	requests atomic.Int64
+	equipped atomic.Bool // has had all its slots once
 	mu       sync.Mutex
 	chart    charter.Machine // charts/gateway.yaml
 }
@@ -101,8 +102,19 @@
 	return hex.EncodeToString(b[:])
 }
 
-// IsReady reports whether the balancer should send callers here.
-func (g *Gateway) IsReady() bool { return g.State() == stateServing && g.Watcher.HoldsGrants() }
+// IsReady reports whether the balancer should send callers here. A gateway that
+// has just started waits for its slots, unless there is no upstream to have them
+// of; later on slots that move do not make it unready.
+func (g *Gateway) IsReady() bool {
+	if g.State() != stateServing || !g.Watcher.HoldsGrants() {
+		return false
+	}
+	c := g.Watcher.Current()
+	if c.IsEquipped() {
+		g.equipped.Store(true)
+	}
+	return g.equipped.Load() || !c.HasUsableUpstream()
+}
 
 // State returns the present state of the chart charts/gateway.yaml.
 func (g *Gateway) State() string {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -77,6 +77,9 @@
 	for _, s := range services {
 		grow(rows, share, s, live)
 	}
+	for key, g := range rows {
+		g.Wanted = share[key]
+	}
 	return collect(rows)
 }
 
@@ -224,7 +227,7 @@
 func collect(rows map[grantKey]*carobrock.Grant) []carobrock.Grant {
 	out := make([]carobrock.Grant, 0, len(rows))
 	for _, g := range rows {
-		if g.Held > 0 || g.HeldConnections > 0 {
+		if g.Held > 0 || g.HeldConnections > 0 || g.Wanted > 0 {
 			out = append(out, *g)
 		}
 	}
--- a/internal/launcher/gateway.go
+++ b/internal/launcher/gateway.go
@@ -72,7 +72,7 @@
 			Replicas: s.Replicas, StaleAfter: s.StaleAfter, Logger: logger,
 		},
 		Forwarder: &forwarder.Forwarder{
-			Admitter: &admitter.Admitter{MaxQueue: s.MaxQueue, MaxQueueWait: s.MaxQueueWait}, MaxBodyBytes: s.MaxBodyBytes, Logger: logger,
+			Admitter: &admitter.Admitter{MaxQueue: s.MaxQueue, MaxExpectedWait: s.MaxExpectedWait, MaxQueueWait: s.MaxQueueWait}, MaxBodyBytes: s.MaxBodyBytes, Logger: logger,
 			Keys: &forwarder.CommandKeys{Control: control},
 		},
 	}
--- a/internal/launcher/local.go
+++ b/internal/launcher/local.go
@@ -78,7 +78,7 @@
 	l.gateway, err = NewGateway(&GatewaySettings{
 		Name: "local", AvailabilityZone: "az1", Listen: l.settings.Listen, Operations: l.settings.Operations,
 		Replicas:   []string{l.control.controller.Replica.Address},
-		StaleAfter: 5 * time.Second, DrainDelay: 0, MaxBodyBytes: 16 << 20, MaxQueue: 1024, MaxQueueWait: 200 * time.Millisecond,
+		StaleAfter: 5 * time.Second, DrainDelay: 0, MaxBodyBytes: 16 << 20, MaxQueue: 1024, MaxExpectedWait: 100 * time.Millisecond, MaxQueueWait: time.Second,
 	}, version, l.logger)
 	if err != nil {
 		return err
--- a/internal/launcher/settings.go
+++ b/internal/launcher/settings.go
@@ -71,8 +71,10 @@
 	DrainDelay time.Duration `long:"drainDelay" env:"CAROBROCK_DRAIN_DELAY" default:"2s" description:"time that new connections are still served after SIGTERM"`
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64 `long:"maxBodyBytes" env:"CAROBROCK_MAX_BODY_BYTES" default:"16777216" description:"largest request body in bytes"`
+	// MaxExpectedWait bounds the wait for a slot that a request may expect.
+	MaxExpectedWait time.Duration `long:"maxExpectedWait" env:"CAROBROCK_MAX_EXPECTED_WAIT" default:"100ms" description:"expected wait for a slot above which a request is refused at once, 1ms to 1m"`
 	// MaxQueueWait bounds the time that a request may wait for a slot.
-	MaxQueueWait time.Duration `long:"maxQueueWait" env:"CAROBROCK_MAX_QUEUE_WAIT" default:"200ms" description:"longest wait for a slot, 1ms to 1m"`
+	MaxQueueWait time.Duration `long:"maxQueueWait" env:"CAROBROCK_MAX_QUEUE_WAIT" default:"1s" description:"longest wait for a slot, 1ms to 1m"`
 	// MaxQueue bounds the requests that wait for one pool.
 	MaxQueue int `long:"maxQueue" env:"CAROBROCK_MAX_QUEUE" default:"1024" description:"most requests that wait for one pool"`
 }
@@ -201,6 +203,9 @@
 	if s.MaxQueueWait < time.Millisecond || s.MaxQueueWait > time.Minute {
 		return bad("--maxQueueWait %s is not in 1ms to 1m", s.MaxQueueWait)
 	}
+	if s.MaxExpectedWait < time.Millisecond || s.MaxExpectedWait > time.Minute {
+		return bad("--maxExpectedWait %s is not in 1ms to 1m", s.MaxExpectedWait)
+	}
 	if s.DrainDelay < 0 || s.MaxBodyBytes <= 0 || s.MaxQueue <= 0 {
 		return bad("--drainDelay, --maxBodyBytes and --maxQueue cannot be negative or zero")
 	}
--- a/internal/watcher/catalog.go
+++ b/internal/watcher/catalog.go
@@ -43,6 +43,9 @@
 	AvailabilityZone string
 	// Slots is how many requests this gateway may have in flight there.
 	Slots int
+	// Wanted is how many slots this gateway is to get there as others give them
+	// up.
+	Wanted int
 	// Connections is how many connections this gateway may hold there.
 	Connections int
 	// Usable is false while it may get no new request.
@@ -121,7 +124,7 @@
 	zone, known := m.zones[w.AvailabilityZone]
 	u := &Upstream{
 		Address: s.Address, Worker: w.Name, VM: w.VM, AvailabilityZone: w.AvailabilityZone,
-		Slots: g.Slots, Connections: g.Connections,
+		Slots: g.Slots, Wanted: g.Wanted, Connections: g.Connections,
 		Usable: !w.Leaving && !m.downVMs[w.VM] && (!known || zone.IsUsable()),
 	}
 	c.Upstreams[s.Address] = u
@@ -140,3 +143,27 @@
 	}
 	return false
 }
+
+// IsEquipped reports whether this gateway has nearly all the slots that it is to
+// get.
+func (c *Catalog) IsEquipped() bool {
+	slots, wanted := 0, 0
+	for _, u := range c.Upstreams {
+		slots += u.Slots
+		wanted += u.Wanted
+	}
+	return slots > 0 && float64(slots) >= equippedShare*float64(wanted)
+}
+
+// equippedShare is the share of the wanted slots that a gateway needs to begin.
+const equippedShare = 0.9
+
+// HasUsableUpstream reports whether any upstream may get requests.
+func (c *Catalog) HasUsableUpstream() bool {
+	for _, u := range c.Upstreams {
+		if u.Usable {
+			return true
+		}
+	}
+	return false
+}
