--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -220,38 +220,6 @@
 	return a.MaxExpectedWait
 }
 
-// expectedWait returns how long a request that joins the queue now is expected
-// to wait, by Little's law: while all slots are used, as many come free in a
-// second as there are slots, divided by the time that each is held. It is zero
-// if nothing is known.
-func (p *pool) expectedWait() time.Duration {
-	slots := 0
-	held := time.Duration(0)
-	for _, m := range p.members {
-		if m.usable {
-			slots += m.slots
-			held += time.Duration(m.slots) * m.health.latency
-		}
-	}
-	if slots == 0 {
-		return 0
-	}
-	each := held / time.Duration(slots)
-	return time.Duration(p.waiting.Len()+1) * each / time.Duration(slots)
-}
-
-// isHopeless reports whether a request that joins the queue now is not expected
-// to get a slot before its deadline.
-func (p *pool) isHopeless(now, deadline time.Time) bool {
-	return !deadline.IsZero() && now.Add(p.expectedWait()).After(deadline)
-}
-
-// isTooLong reports whether a request that joins the queue now is expected to
-// wait longer than most.
-func (p *pool) isTooLong(most time.Duration) bool {
-	return most > 0 && p.expectedWait() > most
-}
-
 // leave takes w out of the queue. A slot that was handed over meanwhile goes
 // back unused.
 func (a *Admitter) leave(ctx context.Context, p *pool, w *waiter) error {
@@ -286,72 +254,6 @@
 	return &Slot{Address: u.address, Latency: u.health.latency, a: a, u: u, p: p, started: now, probe: probe}
 }
 
-// choose returns an upstream with a free slot, or nil: the better of two drawn
-// at random (Mitzenmacher, "The Power of Two Choices in Randomized Load
-// Balancing", 2001). Ejected upstreams are left out unless a probe is due or
-// nothing else is left.
-func (a *Admitter) choose(p *pool, exclude string, now time.Time) (u *upstream, probe bool) {
-	var free, excluded, ejected draw
-	for _, m := range p.members {
-		if !m.usable || m.inFlight >= m.slots {
-			continue
-		}
-		switch {
-		case m.address == exclude:
-			excluded.add(a, m)
-		case m.health.isProbeDue(now):
-			return m, true
-		case m.health.isEjected(now):
-			ejected.add(a, m)
-		default:
-			free.add(a, m)
-		}
-	}
-	for _, d := range []*draw{&free, &excluded, &ejected} {
-		if d.n > 0 {
-			return d.better(), false
-		}
-	}
-	return nil, false
-}
-
-// draw draws two upstreams at random, with replacement, from those that are
-// added one by one (Vitter, "Random Sampling with a Reservoir", 1985).
-type draw struct {
-	n    int
-	x, y *upstream
-}
-
-func (d *draw) add(a *Admitter, u *upstream) {
-	d.n++
-	if a.intN(d.n) == 0 {
-		d.x = u
-	}
-	if a.intN(d.n) == 0 {
-		d.y = u
-	}
-}
-
-// better returns the one of the two that is expected to answer sooner.
-func (d *draw) better() *upstream {
-	if d.y.score() < d.x.score() {
-		return d.y
-	}
-	return d.x
-}
-
-func (a *Admitter) intN(n int) int {
-	if a.Rand == nil {
-		return rand.IntN(n)
-	}
-	return a.Rand.IntN(n)
-}
-
-// score is the expected time to an answer: lower is better.
-func (u *upstream) score() float64 {
-	return float64(u.inFlight+1) * float64(u.health.latency+time.Microsecond)
-}
-
 // serveQueue hands free slots to the waiting requests of p, in their order. The
 // caller holds a.mu.
 func (a *Admitter) serveQueue(p *pool) {
@@ -372,12 +274,6 @@
 	}
 }
 
-// isTooLate reports whether the upstream is not expected to answer before the
-// deadline. A request that is sent all the same would end undecided.
-func (w *waiter) isTooLate(u *upstream, now time.Time) bool {
-	return !w.deadline.IsZero() && now.Add(u.health.latency).After(w.deadline)
-}
-
 // Release gives the slot back and tells how the request went.
 func (s *Slot) Release(result Result) {
 	a := s.a
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -295,6 +295,17 @@
 	}
 }
 
+// others returns the nodes but one.
+func (c *cluster) others(but *node) []*node {
+	var out []*node
+	for _, nd := range c.nodes {
+		if nd != but {
+			out = append(out, nd)
+		}
+	}
+	return out
+}
+
 // parts returns the replica and its state machine, which belong together.
 func (nd *node) parts() (*replicator.Replica, *keeper.Keeper) {
 	nd.c.mu.Lock()
--- a/internal/replicator/failure_test.go
+++ b/internal/replicator/failure_test.go
@@ -66,12 +66,7 @@
 	c := newCluster(t, 1, 3)
 	defer c.stop()
 	a := c.leader()
-	var others []*node
-	for _, nd := range c.nodes {
-		if nd != a {
-			others = append(others, nd)
-		}
-	}
+	others := c.others(a)
 	b, behind := others[0], others[1]
 	accept(t, c, 0)
 	c.isolate(behind, true)
@@ -204,12 +199,7 @@
 		if role := old.replica.Status().Role; role == "leader" {
 			t.Error("a replica without a majority still calls itself the leader")
 		}
-		var others []*node
-		for _, nd := range c.nodes {
-			if nd != old {
-				others = append(others, nd)
-			}
-		}
+		others := c.others(old)
 		row := accept(t, c, 1, others...)
 		time.Sleep(10 * time.Minute)
 		now := c.leader(others...)
@@ -273,12 +263,7 @@
 		case <-time.After(time.Second):
 			t.Error("the replica did not end")
 		}
-		var others []*node
-		for _, nd := range c.nodes {
-			if nd != failed {
-				others = append(others, nd)
-			}
-		}
+		others := c.others(failed)
 		c.leader(others...)
 	})
 }
