--- a/interfaces.go
+++ b/interfaces.go
@@ -54,6 +54,12 @@
 	Send(address string, m *encoder.Message)
 }
 
+// Caller calls other processes.
+type Caller interface {
+	// Call calls method at address and returns the answer's body.
+	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
+}
+
 // Replica is the replicated log as the other parts of a process see it.
 type Replica interface {
 	// Propose commits command and returns the state machine's result. It fails
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -192,7 +192,7 @@
 	}
 	w := &waiter{exclude: exclude, slot: make(chan *Slot, 1)}
 	w.deadline, _ = ctx.Deadline()
-	if p.isHopeless(now, w.deadline) || p.isTooLong(a.maxExpectedWait()) {
+	if a.isTooLong(p.expectedWait(), now, w.deadline) {
 		return nil, nil, nil, ErrOverloaded
 	}
 	p.waiting.PushBack(w)
--- a/internal/admitter/wait.go
+++ b/internal/admitter/wait.go
@@ -22,16 +22,15 @@
 	return time.Duration(p.waiting.Len()+1) * each / time.Duration(slots)
 }
 
-// isHopeless reports whether a request that joins the queue now is not expected
-// to get a slot before its deadline.
-func (p *pool) isHopeless(now, deadline time.Time) bool {
-	return !deadline.IsZero() && now.Add(p.expectedWait()).After(deadline)
-}
-
-// isTooLong reports whether a request that joins the queue now is expected to
-// wait longer than most.
-func (p *pool) isTooLong(most time.Duration) bool {
-	return most > 0 && p.expectedWait() > most
+// isTooLong reports whether a request that expects to wait this long should not
+// join the queue: it would get no slot before its deadline, or the wait is above
+// MaxExpectedWait.
+func (a *Admitter) isTooLong(wait time.Duration, now, deadline time.Time) bool {
+	if !deadline.IsZero() && now.Add(wait).After(deadline) {
+		return true
+	}
+	most := a.maxExpectedWait()
+	return most > 0 && wait > most
 }
 
 // isTooLate reports whether the upstream is not expected to answer before the
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -97,16 +97,6 @@
 	return to, true
 }
 
-// IsFinal reports whether state is a final state of the chart.
-func (c *Chart) IsFinal(state string) bool {
-	for _, s := range c.States {
-		if s.Name == state {
-			return s.Final
-		}
-	}
-	return false
-}
-
 func (c *Chart) check() error {
 	names := map[string]bool{}
 	for _, s := range c.States {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/carobrock/carobrock/internal/relayer"
 	"github.com/carobrock/carobrock/internal/replicator"
 	"github.com/carobrock/carobrock/internal/scheduler"
+	"github.com/carobrock/carobrock/internal/sleeper"
 	"github.com/carobrock/carobrock/internal/watcher"
 )
 
@@ -109,7 +110,7 @@
 				return err
 			}
 		}
-		sleep(ctx, retryPause)
+		_ = sleeper.Sleep(ctx, retryPause) // the loop looks at ctx itself
 	}
 	if undecided {
 		return carobrock.ErrUndecided
@@ -132,15 +133,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Propose implements carobrock.Control.
 func (c *Controller) Propose(ctx context.Context, cmd *carobrock.Command) (res *carobrock.Result, err error) {
 	err = c.onLeader(ctx, cmd.IsRepeatable(), func(control carobrock.Control) error {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -74,7 +74,10 @@
 	callID uint64
 }
 
-var _ carobrock.Link = (*Messenger)(nil)
+var (
+	_ carobrock.Link   = (*Messenger)(nil)
+	_ carobrock.Caller = (*Messenger)(nil)
+)
 
 // Prepare makes the messenger ready for Call and Send.
 func (ms *Messenger) Prepare() {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -12,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/pkg/client"
 )
 
 // MaxBodyBytes bounds the body of a request.
@@ -165,7 +164,5 @@
 	if id != "" {
 		return id
 	}
-	var b [16]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
+	return client.NewChangeID()
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -14,6 +14,7 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/messenger"
+	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
 // Methods, each behind the prefix of the receiver.
@@ -24,12 +25,6 @@
 	methodReplace  = "replace"
 )
 
-// Caller calls other processes.
-type Caller interface {
-	// Call calls method at address and returns the answer's body.
-	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
-}
-
 // replaceRequest is the body of a call that replaces a replica.
 type replaceRequest struct {
 	Name    string `json:"name"`
@@ -137,7 +132,7 @@
 // Stub is the Control of one other process.
 type Stub struct {
 	// Caller reaches the process.
-	Caller Caller
+	Caller carobrock.Caller
 	// Address is where it takes calls.
 	Address string
 	// Prefix is the prefix of the methods there.
@@ -189,7 +184,7 @@
 // to one of the replicas, and to the next one if a replica cannot carry it out.
 type Relayer struct {
 	// Caller reaches the replicas.
-	Caller Caller
+	Caller carobrock.Caller
 	// Replicas are their addresses.
 	Replicas []string
 }
@@ -221,7 +216,7 @@
 			return err
 		}
 		if i%len(r.Replicas) == len(r.Replicas)-1 {
-			sleep(ctx, retryPause)
+			_ = sleeper.Sleep(ctx, retryPause) // the loop looks at ctx itself
 		}
 	}
 	if undecided {
@@ -230,15 +225,6 @@
 	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Propose implements carobrock.Control. A command with a change ID is repeated
 // until its result is known.
 func (r *Relayer) Propose(ctx context.Context, c *carobrock.Command) (res *carobrock.Result, err error) {
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
 // loopRequest asks the loop for one step of a membership change, or for the
@@ -108,7 +109,7 @@
 		if m, ok := res.(*encoder.Message); ok && m != nil {
 			return m.GetSender(), m.GetFresh(), nil
 		}
-		if err := sleep(ctx, pollInterval); err != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
 			return nil, false, err
 		}
 	}
@@ -122,7 +123,7 @@
 		if !errors.Is(err, ErrBusy) {
 			return err
 		}
-		if err := sleep(ctx, pollInterval); err != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
@@ -144,23 +145,12 @@
 				return nil
 			}
 		}
-		if err := sleep(ctx, pollInterval); err != nil {
+		if err := sleeper.Sleep(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // ask passes change to the loop and waits for its result.
 func (r *Replica) ask(ctx context.Context, change *loopRequest) (any, error) {
 	select {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -42,8 +42,11 @@
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	unusable := s.unusableWorkers()
 	live := map[orderKey]time.Time{}
+	var unusable map[string]bool
+	if len(tasks) > 0 {
+		unusable = s.unusableWorkers()
+	}
 	for i := range tasks {
 		t := tasks[i]
 		key := orderKey{carobrock.AttemptRef{ID: t.ID, Attempt: t.Attempt}, t.State}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -12,17 +12,12 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
 // ErrBadAnswer reports that a replica's answer makes no sense.
 var ErrBadAnswer = eris.New("watcher: bad answer")
 
-// Caller calls other processes.
-type Caller interface {
-	// Call calls method at address and returns the answer's body.
-	Call(ctx context.Context, address, method string, body []byte) ([]byte, error)
-}
-
 // Methods that a replica offers to gateways.
 const (
 	MethodSync = "sync"
@@ -38,7 +33,7 @@
 	// Replicas are the addresses of the control replicas.
 	Replicas []string
 	// Caller reaches them.
-	Caller Caller
+	Caller carobrock.Caller
 	// StaleAfter is how long the view may go without confirmation. Zero: 5 s.
 	StaleAfter time.Duration
 	// Wait is how long a replica waits for a change before it answers. Zero:
@@ -122,20 +117,11 @@
 		if !w.isConfirmedWithin(w.StaleAfter / 2) {
 			w.askTips(ctx)
 		}
-		w.pause(ctx, retryPause)
+		_ = sleeper.Sleep(ctx, retryPause) // the loop looks at ctx itself
 	}
 	return nil
 }
 
-func (w *Watcher) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // errNotConfirmed makes the watcher try another replica.
 var errNotConfirmed = eris.New("watcher: the replica could not confirm its state")
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
 // ErrUnreachable reports that no address answered.
@@ -90,14 +91,7 @@
 	if !ok || time.Until(deadline) < retryPause {
 		return false
 	}
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, retryPause) == nil
 }
 
 func isRepeatable(err error) bool {
