Jobs on the users' platform: thin whole path

Cause: carobrock had no jobs of several steps, no settings of the platform's kind and no deploy file. Change: replicated ledger of jobs (bookkeeper), leader's loop over workers and orders (dispatcher), pure placement (allocator), seats of the control group filled without an operator (recruiter), leader found from any replica (locator), the gateway's side (submitter), and the adapter in platform/.

--- a/cmd/carobrock/main.go
+++ b/cmd/carobrock/main.go
@@ -12,6 +12,7 @@
 	"github.com/carobrock/carobrock/internal/launcher"
 	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/parser"
+	"github.com/carobrock/carobrock/platform"
 )
 
 // version is set when a release is built.
@@ -31,6 +32,7 @@
 	Gateway gatewayCommand `command:"gateway" description:"run a gateway between callers and upstreams"`
 	Worker  workerCommand  `command:"worker" description:"run an emulated worker"`
 	Local   localCommand   `command:"local" description:"run a small whole system in one process"`
+	Node    nodeCommand    `command:"node" description:"run a gateway or a replica on the users' platform"`
 	Apply   applyCommand   `command:"apply" description:"put table files in force"`
 	Get     getCommand     `command:"get" description:"show routes, pools, zones, upstreams, tasks, gateways or grants"`
 	Zone    zoneCommand    `command:"zone" description:"take an availability zone out of service or bring it back"`
@@ -80,7 +82,7 @@
 }
 
 // settingsErrors are the errors after which nothing was done.
-var settingsErrors = []error{launcher.ErrSettings, logger.ErrSettings, parser.ErrFile, errUsage}
+var settingsErrors = []error{launcher.ErrSettings, logger.ErrSettings, parser.ErrFile, platform.ErrSettings, errUsage}
 
 func isSettingsError(err error) bool {
 	for _, kind := range settingsErrors {
--- a/interfaces.go
+++ b/interfaces.go
@@ -114,6 +114,9 @@
 	// Match is the highest index that the member is known to hold. It is known
 	// to the leader alone.
 	Match uint64 `json:"match,omitempty"`
+	// SilentMillis is how long ago the leader last heard from the member. It is
+	// known to the leader alone.
+	SilentMillis int64 `json:"silentMillis,omitempty"`
 }
 
 // Control is what operators, workers and monitoring may ask of the control
--- /dev/null
+++ b/internal/allocator/allocator.go
@@ -0,0 +1,184 @@
+package allocator
+
+import (
+	"slices"
+
+	"github.com/carobrock/carobrock"
+)
+
+// Allocator places tasks. Its zero value is ready to use.
+type Allocator struct{}
+
+// Place returns the assignments for requests, which are in the order in which
+// they are served, and updates the workers' amounts. At most limit tasks are
+// assigned.
+func (a *Allocator) Place(requests []Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
+	var out []carobrock.TaskAssignment
+	for i := range requests {
+		if len(out) >= limit {
+			break
+		}
+		if requests[i].Step.Gang {
+			out = append(out, placeGang(&requests[i], workers)...)
+			continue
+		}
+		out = append(out, placeEach(&requests[i], workers, limit-len(out))...)
+	}
+	return out
+}
+
+// placeEach places the tasks of a request one by one.
+func placeEach(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
+	var out []carobrock.TaskAssignment
+	for i := range r.Indices {
+		if len(out) >= limit {
+			break
+		}
+		w := best(r, workers, "")
+		if w == nil {
+			break
+		}
+		out = append(out, take(r, i, w))
+	}
+	return out
+}
+
+// placeGang places all tasks of a request or none.
+func placeGang(r *Request, workers []*Worker) []carobrock.TaskAssignment {
+	if r.Step.SameRack {
+		for _, rack := range racksByRoom(r, workers) {
+			if out := placeAll(r, workers, rack); out != nil {
+				return out
+			}
+		}
+	}
+	return placeAll(r, workers, "")
+}
+
+// placeAll places all tasks of a request on one rack, or on any if rack is
+// empty. It returns nil and changes nothing if not all fit.
+func placeAll(r *Request, workers []*Worker, rack string) []carobrock.TaskAssignment {
+	var out []carobrock.TaskAssignment
+	var taken []*Worker
+	for i := range r.Indices {
+		w := best(r, workers, rack)
+		if w == nil {
+			for _, t := range taken {
+				giveBack(r, t)
+			}
+			return nil
+		}
+		out = append(out, take(r, i, w))
+		taken = append(taken, w)
+	}
+	return out
+}
+
+// racksByRoom returns the racks of the workers, that with the most free
+// processors first.
+func racksByRoom(r *Request, workers []*Worker) []string {
+	room := map[string]int64{}
+	for _, w := range workers {
+		if w.Pool == r.Pool {
+			room[w.Rack] += w.Free.MilliCPU
+		}
+	}
+	racks := make([]string, 0, len(room))
+	for rack := range room {
+		racks = append(racks, rack)
+	}
+	slices.SortFunc(racks, func(a, b string) int {
+		switch {
+		case room[a] != room[b]:
+			return int(room[b] - room[a])
+		case a < b:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return racks
+}
+
+// take assigns task i of r to w and updates the amounts.
+func take(r *Request, i int, w *Worker) carobrock.TaskAssignment {
+	w.Free = w.Free.Sub(r.Step.Committed())
+	w.SpareMilliCPU -= r.Step.Size.MilliCPU
+	if r.OnWorker != nil {
+		r.OnWorker[w.Life]++
+	}
+	return carobrock.TaskAssignment{Task: r.ref(i), Attempt: r.Attempts[i], Life: w.Life, Ticket: r.Tickets[w.Life.Name]}
+}
+
+func giveBack(r *Request, w *Worker) {
+	w.Free = w.Free.Add(r.Step.Committed())
+	w.SpareMilliCPU += r.Step.Size.MilliCPU
+	if r.OnWorker != nil {
+		r.OnWorker[w.Life]--
+	}
+}
+
+// Fits reports whether a worker may run a task of r now.
+func Fits(r *Request, w *Worker) bool {
+	switch {
+	case w.Pool != r.Pool, !r.Step.Committed().Fits(w.Free):
+		return false
+	case r.Step.Label != "" && !slices.Contains(w.Labels, r.Step.Label):
+		return false
+	case r.Step.MaxPerWorker > 0 && r.OnWorker[w.Life] >= r.Step.MaxPerWorker:
+		return false
+	case r.Avoid[w.Life]:
+		return false
+	case r.NeedsTicket && r.Tickets[w.Life.Name] == "":
+		return false
+	default:
+		return true
+	}
+}
+
+// best returns the worker with the highest score that fits, nil if none does.
+func best(r *Request, workers []*Worker, rack string) *Worker {
+	var top *Worker
+	var topScore float64
+	for _, w := range workers {
+		if rack != "" && w.Rack != rack || !Fits(r, w) {
+			continue
+		}
+		if s := score(r, w); top == nil || s > topScore {
+			top, topScore = w, s
+		}
+	}
+	return top
+}
+
+// Weights of the score, in shares of a worker's processors.
+const (
+	// dataRackWeight outweighs all but distrust: away from its data a task takes
+	// a multiple of its time.
+	dataRackWeight = 3.0
+	// waitingWeight prefers a worker that gets the order at once: a start that
+	// waits for the next heartbeat costs about a tenth of a short task.
+	waitingWeight = 0.1
+	// distrustWeight outweighs all else: work on a failing worker is lost.
+	distrustWeight = 10.0
+	// strainWeight keeps fillers off workers whose services are slow.
+	strainWeight = 1.0
+)
+
+// score returns how well a worker suits a task of r; higher is better.
+func score(r *Request, w *Worker) float64 {
+	whole := float64(max(1, w.Capacity.MilliCPU))
+	s := -distrustWeight * w.Distrust
+	if r.Step.Filler {
+		s += float64(w.SpareMilliCPU)/whole - strainWeight*w.Strain
+	} else {
+		s += float64(w.Free.MilliCPU)/whole + 0.5*float64(w.SpareMilliCPU)/whole
+	}
+	if r.Step.DataRack != "" && r.Step.DataRack == w.Rack {
+		s += dataRackWeight
+	}
+	if w.IsWaiting {
+		s += waitingWeight
+	}
+	return s
+}
--- /dev/null
+++ b/internal/dispatcher/calls.go
@@ -0,0 +1,128 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+)
+
+// read calls fn with the state, which holds everything that was committed
+// before the call. The lease is checked after fn, so that a leader that was
+// suspended meanwhile answers nothing.
+func (d *Dispatcher) read(fn func(s *bookkeeper.State)) error {
+	d.Ledger.View(fn)
+	return d.lead()
+}
+
+// Submit implements carobrock.JobControl.
+func (d *Dispatcher) Submit(ctx context.Context, spec *carobrock.JobSpec) (bool, error) {
+	res, i, err := d.commit(ctx, func(c *carobrock.JobCommand) int {
+		c.Submit = append(c.Submit, *spec)
+		return len(c.Submit) - 1
+	})
+	if err != nil {
+		return false, err
+	}
+	return res.Submitted[i], nil
+}
+
+// Cancel implements carobrock.JobControl.
+func (d *Dispatcher) Cancel(ctx context.Context, key carobrock.JobKey) (bool, error) {
+	res, i, err := d.commit(ctx, func(c *carobrock.JobCommand) int {
+		c.Cancel = append(c.Cancel, key)
+		return len(c.Cancel) - 1
+	})
+	if err != nil {
+		return false, err
+	}
+	return res.Cancelled[i], nil
+}
+
+// JobState implements carobrock.JobControl.
+func (d *Dispatcher) JobState(_ context.Context, key carobrock.JobKey) (state carobrock.JobState, err error) {
+	err = d.read(func(s *bookkeeper.State) {
+		if j := s.Jobs[key.ID]; j != nil && j.Spec.Queue == key.Queue {
+			state = j.State
+		}
+	})
+	return state, err
+}
+
+// PendingJobs implements carobrock.JobControl.
+func (d *Dispatcher) PendingJobs(_ context.Context, queue string) (n int, err error) {
+	err = d.read(func(s *bookkeeper.State) { n = s.Pending[queue] })
+	return n, err
+}
+
+// Configure implements carobrock.JobControl.
+func (d *Dispatcher) Configure(ctx context.Context, c *carobrock.Configuration) error {
+	_, _, err := d.commit(ctx, func(next *carobrock.JobCommand) int {
+		if next.Configuration == nil || c.Version > next.Configuration.Version {
+			next.Configuration = c
+		}
+		return 0
+	})
+	return err
+}
+
+// Configuration implements carobrock.JobControl.
+func (d *Dispatcher) Configuration(context.Context) (c *carobrock.Configuration, err error) {
+	err = d.read(func(s *bookkeeper.State) { c = s.Configuration })
+	return c, err
+}
+
+// WatchConfiguration implements carobrock.JobControl.
+func (d *Dispatcher) WatchConfiguration(ctx context.Context, above int64) (*carobrock.Configuration, error) {
+	timer := time.NewTimer(carobrock.WatchMillis * time.Millisecond)
+	defer timer.Stop()
+	for {
+		d.mu.Lock()
+		changed := d.changed
+		d.mu.Unlock()
+		c, err := d.Configuration(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if c != nil && c.Version > above {
+			bare := *c
+			bare.Document = nil
+			return &bare, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// SetZone implements carobrock.JobControl.
+func (d *Dispatcher) SetZone(ctx context.Context, z carobrock.ZoneOrder) error {
+	_, _, err := d.commit(ctx, func(c *carobrock.JobCommand) int {
+		c.Zones = append(c.Zones, z)
+		return 0
+	})
+	return err
+}
+
+// StartWave implements carobrock.JobControl.
+func (d *Dispatcher) StartWave(ctx context.Context, w *carobrock.MaintenanceWave) error {
+	_, _, err := d.commit(ctx, func(c *carobrock.JobCommand) int {
+		c.Waves = append(c.Waves, *w)
+		return 0
+	})
+	return err
+}
+
+// IsWaveDone implements carobrock.JobControl.
+func (d *Dispatcher) IsWaveDone(_ context.Context, number int64) (done bool, err error) {
+	err = d.read(func(s *bookkeeper.State) {
+		w := s.Waves[number]
+		done = w != nil && len(w.Begun) == len(w.Machines)
+	})
+	return done, err
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,147 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/allocator"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/locator"
+)
+
+// Leadership is the replicated log as the dispatcher sees it.
+type Leadership interface {
+	// Propose commits a command and returns the state machine's result.
+	Propose(ctx context.Context, command []byte) (any, error)
+	// Term returns the present term and whether this replica leads in it and
+	// certainly no other does.
+	Term() (uint64, bool)
+	// LeaderAddress returns the address of the leader, empty if it is not known.
+	LeaderAddress() string
+}
+
+// Settings are the bounds that a deployment sets.
+type Settings struct {
+	// Lease is how long runs go on without a heartbeat. Zero: 4 s.
+	Lease time.Duration
+	// MaxLease is the longest lease that an earlier leader may have granted.
+	// Zero: Lease.
+	MaxLease time.Duration
+	// Period is the time between heartbeats of a worker that is told nothing
+	// else. Zero: 1.5 s.
+	Period time.Duration
+	// StartEarly is how long before its time a repetition may start. Zero: not.
+	StartEarly time.Duration
+}
+
+const (
+	defaultLease  = 4 * time.Second
+	defaultPeriod = 1500 * time.Millisecond
+	// clockDrift bounds how much slower a worker's clock may run: 2 %, as the
+	// platform states, and half of that again.
+	clockDrift = 0.03
+	// leaseSlack is added to a lease for the time that a worker takes to end
+	// what has lapsed.
+	leaseSlack = 300 * time.Millisecond
+)
+
+// Dispatcher runs jobs while its replica leads. Its fields are set before Run
+// and not changed after.
+type Dispatcher struct {
+	// Ledger is the replicated state.
+	Ledger *bookkeeper.Ledger
+	// Leadership is the replicated log.
+	Leadership Leadership
+	// Settings are the bounds.
+	Settings Settings
+	// WorkerAddress is where workers reach this replica; they are sent there
+	// while it leads.
+	WorkerAddress string
+	// Now returns the wall-clock time. Nil: time.Now.
+	Now func() time.Time
+	// Logger takes the log.
+	Logger zerolog.Logger
+
+	allocator allocator.Allocator
+	intake    intake
+	kick      chan struct{}
+
+	mu sync.Mutex
+	// term is the term that workers belongs to, and since when it lasts.
+	term    uint64
+	since   time.Time
+	workers map[string]*worker // by name
+	changed chan struct{}      // closed when the configuration may have changed
+}
+
+var _ carobrock.JobControl = (*Dispatcher)(nil)
+
+// Prepare makes the dispatcher ready for calls.
+func (d *Dispatcher) Prepare() {
+	if d.Settings.Lease == 0 {
+		d.Settings.Lease = defaultLease
+	}
+	if d.Settings.MaxLease == 0 {
+		d.Settings.MaxLease = d.Settings.Lease
+	}
+	if d.Settings.Period == 0 {
+		d.Settings.Period = defaultPeriod
+	}
+	if d.Now == nil {
+		d.Now = time.Now
+	}
+	d.kick = make(chan struct{}, 1)
+	d.changed = make(chan struct{})
+	d.workers = map[string]*worker{}
+	d.intake.prepare()
+	d.Ledger.OnChange = d.stateChanged
+}
+
+// Run runs both loops until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	loops := pool.New().WithContext(ctx).WithCancelOnError()
+	loops.Go(d.runIntake)
+	loops.Go(d.runPlacement)
+	return loops.Wait()
+}
+
+// stateChanged wakes what waits for a change of the state.
+func (d *Dispatcher) stateChanged() {
+	d.wake()
+	d.mu.Lock()
+	close(d.changed)
+	d.changed = make(chan struct{})
+	d.mu.Unlock()
+}
+
+func (d *Dispatcher) wake() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// lead returns nil if this replica leads. A new term begins without knowledge
+// of workers: each tells of itself with its next heartbeat.
+func (d *Dispatcher) lead() error {
+	term, ok := d.Leadership.Term()
+	if !ok {
+		return &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if term != d.term {
+		d.term, d.since = term, time.Now()
+		for _, w := range d.workers {
+			w.release()
+		}
+		d.workers = map[string]*worker{}
+		d.Logger.Info().Uint64("term", term).Msg("dispatcher: leads")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatcher/turn.go
@@ -0,0 +1,253 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/allocator"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+)
+
+const (
+	// turnInterval is the longest time between turns: lost workers, repetitions
+	// and waiting tasks are looked at this often when nothing happens.
+	turnInterval = 100 * time.Millisecond
+	// maxAssignments bounds one turn, so that a burst does not hold up the
+	// heartbeats.
+	maxAssignments = 300
+	// silentAfter is how long after its last heartbeat a worker gets no more
+	// tasks: a few times the usual time between two.
+	silentAfter = 600 * time.Millisecond
+	// serviceLoad is the share of its request that a service task is taken to
+	// use; its use is not reported.
+	serviceLoad = 0.55
+)
+
+// runPlacement takes turns until ctx ends.
+func (d *Dispatcher) runPlacement(ctx context.Context) error {
+	ticker := time.NewTicker(turnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.kick:
+		case <-ticker.C:
+		}
+		if d.lead() != nil {
+			continue
+		}
+		c := d.plan(time.Now())
+		if c == nil {
+			continue
+		}
+		if _, err := d.propose(ctx, c); err != nil {
+			d.Logger.Warn().Err(err).Int("assignments", len(c.Assign)).Msg("dispatcher: turn not committed")
+			continue
+		}
+		d.releaseWithOrders(c)
+	}
+}
+
+// releaseWithOrders answers the heartbeats of the workers that have new runs.
+func (d *Dispatcher) releaseWithOrders(c *carobrock.JobCommand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range c.Assign {
+		if w := d.workers[c.Assign[i].Life.Name]; w != nil {
+			w.release()
+		}
+	}
+}
+
+// plan returns what is to be committed in this turn, nil if nothing is.
+func (d *Dispatcher) plan(now time.Time) *carobrock.JobCommand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := &carobrock.JobCommand{}
+	d.Ledger.View(func(s *bookkeeper.State) {
+		d.findLost(s, now, c)
+		d.findWithdrawn(s, now, c)
+		d.releaseStops(s)
+		requests := d.requests(s)
+		if len(requests) > 0 {
+			c.Assign = d.allocator.Place(requests, d.view(s, now), maxAssignments)
+		}
+	})
+	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 {
+		return nil
+	}
+	return c
+}
+
+// findLost adds the lives whose leases have all expired.
+func (d *Dispatcher) findLost(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
+	inherited := d.since.Add(time.Duration(float64(d.Settings.MaxLease)*(1+clockDrift)) + leaseSlack)
+	for life, l := range s.Lives {
+		if len(l.Runs) == 0 {
+			continue
+		}
+		w := d.workers[life.Name]
+		if w == nil || w.report.WorkerLife != life {
+			if now.After(inherited) {
+				d.Logger.Warn().Str("worker", life.Name).Int("runs", len(l.Runs)).Msg("dispatcher: worker was never heard of, its leases have expired")
+				c.Lost = append(c.Lost, carobrock.LostWorker{Life: life})
+			}
+			continue
+		}
+		end := w.leaseEnd
+		if inherited.After(end) && w.leaseEnd.IsZero() {
+			end = inherited
+		}
+		if now.After(end) {
+			d.Logger.Warn().Str("worker", life.Name).Int("runs", len(l.Runs)).Dur("silent", now.Sub(w.received)).Msg("dispatcher: worker is silent, its leases have expired")
+			c.Lost = append(c.Lost, carobrock.LostWorker{Life: life, Checkpoints: w.checkpoints()})
+			w.release()
+			delete(d.workers, life.Name)
+		}
+	}
+}
+
+// findWithdrawn adds runs that certainly never reached their worker and that it
+// can, or need, no longer start.
+func (d *Dispatcher) findWithdrawn(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
+	for name, w := range d.workers {
+		l := s.Lives[w.report.WorkerLife]
+		if l == nil || len(l.Runs) == len(w.listed) {
+			continue
+		}
+		silent := now.Sub(w.received) > silentAfter && w.waiting == nil
+		for run := range l.Runs {
+			if w.listed[run] != nil || w.offered[run] {
+				continue
+			}
+			if silent || !d.mayStart(s, w) || !s.IsActive(w.report.WorkerLife, run) {
+				d.Logger.Info().Str("worker", name).Str("job", run.Task.Job).Uint64("attempt", run.Attempt).Bool("silent", silent).Msg("dispatcher: run withdrawn")
+				c.Withdrawn = append(c.Withdrawn, carobrock.WithdrawnRun{Life: w.report.WorkerLife, Task: run.Task, Attempt: run.Attempt})
+			}
+		}
+	}
+}
+
+// releaseStops answers the heartbeats of workers that run what they should not.
+func (d *Dispatcher) releaseStops(s *bookkeeper.State) {
+	for _, w := range d.workers {
+		if w.waiting == nil {
+			continue
+		}
+		for run := range w.listed {
+			if !s.IsActive(w.report.WorkerLife, run) {
+				w.release()
+				break
+			}
+		}
+	}
+}
+
+// view returns the workers that may get tasks.
+func (d *Dispatcher) view(s *bookkeeper.State, now time.Time) []*allocator.Worker {
+	out := make([]*allocator.Worker, 0, len(d.workers))
+	for _, w := range d.workers {
+		r := w.report
+		if !d.mayStart(s, w) || w.waiting == nil && now.Sub(w.received) > silentAfter {
+			continue
+		}
+		v := &allocator.Worker{
+			Life: r.WorkerLife, Pool: r.Pool, AvailabilityZone: r.AvailabilityZone, Rack: r.Rack, Labels: r.Labels,
+			Capacity: r.Capacity, Free: r.Capacity, SpareMilliCPU: r.Capacity.MilliCPU, IsWaiting: w.waiting != nil,
+			Distrust: w.record.failureShare(now),
+		}
+		if l := s.Lives[r.WorkerLife]; l != nil {
+			for _, step := range l.Runs {
+				v.Free = v.Free.Sub(step.Committed())
+				v.SpareMilliCPU -= expectedUse(step)
+			}
+		}
+		out = append(out, v)
+	}
+	// A fixed order makes equal scores fall the same way each turn.
+	slices.SortFunc(out, func(a, b *allocator.Worker) int {
+		if a.Life.Name < b.Life.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// expectedUse returns the processor time that a task of a step is taken to use.
+func expectedUse(step *carobrock.Step) int64 {
+	if step.Service {
+		return int64(serviceLoad * float64(step.Size.MilliCPU))
+	}
+	return step.Size.MilliCPU
+}
+
+// requests returns the waiting tasks whose turn has come, most urgent first.
+func (d *Dispatcher) requests(s *bookkeeper.State) []allocator.Request {
+	var out []allocator.Request
+	at := d.Now().Add(d.Settings.StartEarly).UnixMilli()
+	ranks := map[*carobrock.Step]int{}
+	for _, j := range s.Open {
+		if j.Queue.Pool == "" {
+			continue
+		}
+		for k, o := range j.Occurrences {
+			if j.Spec.DueUnixMillis(k) > at {
+				break
+			}
+			for i := range j.Spec.Steps {
+				if r, ok := request(j, o, k, i); ok {
+					ranks[r.Step] = rank(j, r.Step)
+					out = append(out, r)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b allocator.Request) int { return ranks[a.Step] - ranks[b.Step] })
+	return out
+}
+
+// rank orders steps: service tasks first, then by the queue's priority.
+func rank(j *bookkeeper.Job, step *carobrock.Step) int {
+	if step.Service {
+		return -1
+	}
+	return j.Queue.Priority
+}
+
+// request returns the waiting tasks of a step, false if there are none or their
+// turn has not come.
+func request(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int) (allocator.Request, bool) {
+	step := &j.Spec.Steps[i]
+	if o != nil && o.Steps[i].Waiting() == 0 || !j.IsReady(o, i) {
+		return allocator.Request{}, false
+	}
+	if step.Gang && o != nil && o.Steps[i].Active > 0 {
+		return allocator.Request{}, false
+	}
+	r := allocator.Request{Job: j.Spec.ID, Occurrence: k, StepNumber: i, Step: step, Pool: j.Queue.Pool}
+	if step.MaxPerWorker > 0 {
+		r.OnWorker = map[carobrock.WorkerLife]int{}
+	}
+	for n := range step.Count {
+		attempt := uint64(1)
+		if o != nil {
+			t := &o.Steps[i].Tasks[n]
+			attempt = t.Attempt + 1
+			for _, run := range t.Runs {
+				if r.OnWorker != nil {
+					r.OnWorker[run.Life]++
+				}
+			}
+			if t.Done || len(t.Runs) > 0 {
+				continue
+			}
+		}
+		r.Indices = append(r.Indices, n)
+		r.Attempts = append(r.Attempts, attempt)
+	}
+	return r, len(r.Indices) > 0
+}
--- /dev/null
+++ b/internal/dispatcher/worker.go
@@ -0,0 +1,118 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/carobrock/carobrock"
+)
+
+// worker is what the leader knows of one worker life from its heartbeats.
+type worker struct {
+	// report is the newest heartbeat.
+	report *carobrock.WorkerReport
+	// received is when it came.
+	received time.Time
+	// leaseEnd is when every lease that this leader granted has expired on the
+	// worker's clock, at the latest.
+	leaseEnd time.Time
+	// listed holds the runs that report lists as running.
+	listed map[carobrock.Run]*carobrock.RunReport
+	// offered holds the runs that the answer to report told the worker to start.
+	offered map[carobrock.Run]bool
+	// waiting is not nil while the heartbeat waits for orders; closing it ends
+	// the wait.
+	waiting chan struct{}
+	// record counts how runs ended lately.
+	record record
+	// progress tells when each run was last seen to advance.
+	progress map[carobrock.Run]progress
+	// unwanted holds runs that are to be stopped though their tasks go on.
+	unwanted map[carobrock.Run]string
+	// paces holds the pace that each run was told, in percent.
+	paces map[carobrock.Run]int
+}
+
+// progress is how far a run was when it last advanced.
+type progress struct {
+	percent int
+	at      time.Time
+}
+
+func newWorker() *worker {
+	return &worker{
+		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
+		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{},
+	}
+}
+
+// take notes a heartbeat.
+func (w *worker) take(r *carobrock.WorkerReport, now time.Time) {
+	w.report, w.received = r, now
+	w.listed = make(map[carobrock.Run]*carobrock.RunReport, len(r.Running))
+	clear(w.offered)
+	seen := make(map[carobrock.Run]progress, len(r.Running))
+	for i := range r.Running {
+		x := &r.Running[i]
+		w.listed[x.Run] = x
+		p, ok := w.progress[x.Run]
+		if !ok || x.Percent != p.percent {
+			p = progress{percent: x.Percent, at: now}
+		}
+		seen[x.Run] = p
+	}
+	w.progress = seen
+	for run := range w.unwanted {
+		if w.listed[run] == nil {
+			delete(w.unwanted, run)
+		}
+	}
+	for run := range w.paces {
+		if w.listed[run] == nil {
+			delete(w.paces, run)
+		}
+	}
+}
+
+// release ends the wait of a heartbeat for orders.
+func (w *worker) release() {
+	if w.waiting != nil {
+		close(w.waiting)
+		w.waiting = nil
+	}
+}
+
+// record counts ends of runs with weights that halve over time.
+type record struct {
+	failed    float64
+	succeeded float64
+	at        time.Time
+}
+
+const (
+	// recordHalfLife is how fast the past of a worker is forgotten: a few times
+	// the run time of a short task.
+	recordHalfLife = 3 * time.Second
+	// recordPrior is how many ends without failure every worker is credited with.
+	recordPrior = 2.0
+)
+
+func (r *record) add(now time.Time, failed, succeeded float64) {
+	r.decay(now)
+	r.failed += failed
+	r.succeeded += succeeded
+}
+
+func (r *record) decay(now time.Time) {
+	if !r.at.IsZero() {
+		f := halve(now.Sub(r.at), recordHalfLife)
+		r.failed *= f
+		r.succeeded *= f
+	}
+	r.at = now
+}
+
+// failureShare estimates the share of runs that fail on the worker.
+func (r *record) failureShare(now time.Time) float64 {
+	r.decay(now)
+	return r.failed / (r.failed + r.succeeded + recordPrior)
+}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -45,6 +45,9 @@
 	snapshot bool
 	// ackedRound is the newest round that the member has answered.
 	ackedRound uint64
+	// heardAt is when the member's last answer came, at first when the leader
+	// began to count.
+	heardAt time.Time
 }
 
 // core is the algorithm. It is used from one goroutine. Its methods collect
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -130,7 +130,7 @@
 		if m.GetId() == c.self.GetId() || c.peers[m.GetId()] != nil {
 			continue
 		}
-		c.peers[m.GetId()] = &progress{next: c.log.last() + 1}
+		c.peers[m.GetId()] = &progress{next: c.log.last() + 1, heardAt: time.Now()}
 	}
 	for id := range c.peers {
 		if findMember(c.members, id) == nil {
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -295,6 +295,7 @@
 		ms := carobrock.MemberStatus{ID: m.GetId(), Name: m.GetName(), Address: m.GetAddress(), Voter: m.GetVoter()}
 		if c.role() == roleLeader {
 			ms.Match = c.matchOf(m.GetId())
+			ms.SilentMillis = c.silence(m.GetId()).Milliseconds()
 		}
 		if m.GetId() == c.leader {
 			s.LeaderAddress = m.GetAddress()
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -46,20 +46,45 @@
 		return eris.Wrapf(ErrNoMember, "the replica at %s is %q, not %q", address, newcomer.GetName(), name)
 	}
 	learner := &encoder.Member{Id: newcomer.GetId(), Name: name, Address: address}
-	if err := r.changeMembers(ctx, func(ms *encoder.Members) (*encoder.Members, error) {
-		return addLearner(ms, learner, fresh)
-	}); err != nil {
+	return r.swap(ctx, learner,
+		func(ms *encoder.Members) (*encoder.Members, error) { return addLearner(ms, learner, fresh) },
+		func(ms *encoder.Members) (*encoder.Members, error) { return removeNamesakes(ms, learner), nil })
+}
+
+// Admit makes newcomer a voter in the place of the member leaving, or beside
+// the others if leaving is zero, in the same steps and with the same guarantees
+// as Replace. The newcomer may have been a member before, under the same
+// identity.
+func (r *Replica) Admit(ctx context.Context, newcomer *encoder.Member, leaving uint64) error {
+	learner := &encoder.Member{Id: newcomer.GetId(), Name: newcomer.GetName(), Address: newcomer.GetAddress()}
+	return r.swap(ctx, learner,
+		func(ms *encoder.Members) (*encoder.Members, error) {
+			if findMember(ms, learner.GetId()) != nil {
+				return ms, nil
+			}
+			return withMember(ms, learner), nil
+		},
+		func(ms *encoder.Members) (*encoder.Members, error) {
+			if findMember(ms, leaving) == nil {
+				return ms, nil
+			}
+			return withoutMember(ms, leaving), nil
+		})
+}
+
+// swap adds a learner with add, waits until it has caught up, removes others
+// with remove and promotes the learner.
+func (r *Replica) swap(ctx context.Context, learner *encoder.Member, add, remove func(*encoder.Members) (*encoder.Members, error)) error {
+	if err := r.changeMembers(ctx, add); err != nil {
 		return err
 	}
 	if err := r.waitCaughtUp(ctx, learner.GetId()); err != nil {
 		return err
 	}
-	if err := r.changeMembers(ctx, func(ms *encoder.Members) (*encoder.Members, error) {
-		return removeNamesakes(ms, learner), nil
-	}); err != nil {
+	if err := r.changeMembers(ctx, remove); err != nil {
 		return err
 	}
-	voter := &encoder.Member{Id: newcomer.GetId(), Name: name, Address: address, Voter: true}
+	voter := &encoder.Member{Id: learner.GetId(), Name: learner.GetName(), Address: learner.GetAddress(), Voter: true}
 	if err := r.changeMembers(ctx, func(ms *encoder.Members) (*encoder.Members, error) {
 		return withMember(ms, voter), nil
 	}); err != nil {
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -191,6 +191,7 @@
 		return
 	}
 	p.ackedRound = max(p.ackedRound, m.GetRound())
+	p.heardAt = now
 	if m.GetReject() {
 		p.inFlight, p.snapshot = false, false
 		p.next = max(p.match+1, min(p.next-1, m.GetLogIndex()+1))
@@ -281,3 +282,11 @@
 	}
 	return c.quorumAcked().Add(c.election - c.drift)
 }
+
+// silence returns how long ago the leader last heard from a member.
+func (c *core) silence(id uint64) time.Duration {
+	if p := c.peers[id]; p != nil {
+		return time.Since(p.heardAt)
+	}
+	return 0
+}
