Learn how fillers slow services; pace and place fillers by it

Change: pacer (recursive least squares per service image, greedy paces with hysteresis); the allocator weighs the risk for the services beside a filler.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -4,10 +4,14 @@
 	"slices"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/pacer"
 )
 
-// Allocator places tasks. Its zero value is ready to use.
-type Allocator struct{}
+// Allocator places tasks.
+type Allocator struct {
+	// Model tells how much fillers slow services. It is not changed.
+	Model *pacer.Model
+}
 
 // Place returns the assignments for requests, which are in the order in which
 // they are served, and updates the workers' amounts. At most limit tasks are
@@ -19,56 +23,56 @@
 			break
 		}
 		if requests[i].Step.Gang {
-			out = append(out, placeGang(&requests[i], workers)...)
+			out = append(out, a.placeGang(&requests[i], workers)...)
 			continue
 		}
-		out = append(out, placeEach(&requests[i], workers, limit-len(out))...)
+		out = append(out, a.placeEach(&requests[i], workers, limit-len(out))...)
 	}
 	return out
 }
 
 // placeEach places the tasks of a request one by one.
-func placeEach(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
+func (a *Allocator) placeEach(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
 	for i := range r.Indices {
 		if len(out) >= limit {
 			break
 		}
-		w := best(r, workers, "")
+		w := a.best(r, workers, "")
 		if w == nil {
 			break
 		}
-		out = append(out, take(r, i, w))
+		out = append(out, a.take(r, i, w))
 	}
 	return out
 }
 
 // placeGang places all tasks of a request or none.
-func placeGang(r *Request, workers []*Worker) []carobrock.TaskAssignment {
+func (a *Allocator) placeGang(r *Request, workers []*Worker) []carobrock.TaskAssignment {
 	if r.Step.SameRack {
 		for _, rack := range racksByRoom(r, workers) {
-			if out := placeAll(r, workers, rack); out != nil {
+			if out := a.placeAll(r, workers, rack); out != nil {
 				return out
 			}
 		}
 	}
-	return placeAll(r, workers, "")
+	return a.placeAll(r, workers, "")
 }
 
 // placeAll places all tasks of a request on one rack, or on any if rack is
 // empty. It returns nil and changes nothing if not all fit.
-func placeAll(r *Request, workers []*Worker, rack string) []carobrock.TaskAssignment {
+func (a *Allocator) placeAll(r *Request, workers []*Worker, rack string) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
 	var taken []*Worker
 	for i := range r.Indices {
-		w := best(r, workers, rack)
+		w := a.best(r, workers, rack)
 		if w == nil {
 			for _, t := range taken {
-				giveBack(r, t)
+				a.giveBack(r, t)
 			}
 			return nil
 		}
-		out = append(out, take(r, i, w))
+		out = append(out, a.take(r, i, w))
 		taken = append(taken, w)
 	}
 	return out
@@ -101,18 +105,20 @@
 }
 
 // take assigns task i of r to w and updates the amounts.
-func take(r *Request, i int, w *Worker) carobrock.TaskAssignment {
+func (a *Allocator) take(r *Request, i int, w *Worker) carobrock.TaskAssignment {
 	w.Free = w.Free.Sub(r.Step.Committed())
 	w.SpareMilliCPU -= r.Step.Size.MilliCPU
+	a.note(r.Step, w, 1)
 	if r.OnWorker != nil {
 		r.OnWorker[w.Life]++
 	}
 	return carobrock.TaskAssignment{Task: r.ref(i), Attempt: r.Attempts[i], Life: w.Life, Ticket: r.Tickets[w.Life.Name]}
 }
 
-func giveBack(r *Request, w *Worker) {
+func (a *Allocator) giveBack(r *Request, w *Worker) {
 	w.Free = w.Free.Add(r.Step.Committed())
 	w.SpareMilliCPU += r.Step.Size.MilliCPU
+	a.note(r.Step, w, -1)
 	if r.OnWorker != nil {
 		r.OnWorker[w.Life]--
 	}
@@ -137,14 +143,14 @@
 }
 
 // best returns the worker with the highest score that fits, nil if none does.
-func best(r *Request, workers []*Worker, rack string) *Worker {
+func (a *Allocator) best(r *Request, workers []*Worker, rack string) *Worker {
 	var top *Worker
 	var topScore float64
 	for _, w := range workers {
 		if rack != "" && w.Rack != rack || !Fits(r, w) {
 			continue
 		}
-		if s := score(r, w); top == nil || s > topScore {
+		if s := a.score(r, w); top == nil || s > topScore {
 			top, topScore = w, s
 		}
 	}
@@ -161,17 +167,31 @@
 	waitingWeight = 0.1
 	// distrustWeight outweighs all else: work on a failing worker is lost.
 	distrustWeight = 10.0
-	// strainWeight keeps fillers off workers whose services are slow.
-	strainWeight = 1.0
+	// riskWeight is the cost of one service task above its target: it earns
+	// nothing meanwhile and counts four times against the site.
+	riskWeight = 4.0
+	// crowdWeight is the cost of asking for more processors than are spare: the
+	// fillers there slow down in proportion.
+	crowdWeight = 2.0
+	// imageWeight prefers service tasks of one image together: what presses on
+	// one image then presses on few workers.
+	imageWeight = 0.6
 )
 
 // score returns how well a worker suits a task of r; higher is better.
-func score(r *Request, w *Worker) float64 {
+func (a *Allocator) score(r *Request, w *Worker) float64 {
 	whole := float64(max(1, w.Capacity.MilliCPU))
 	s := -distrustWeight * w.Distrust
-	if r.Step.Filler {
-		s += float64(w.SpareMilliCPU)/whole - strainWeight*w.Strain
-	} else {
+	switch {
+	case r.Step.Filler:
+		s += 0.5 * float64(w.SpareMilliCPU) / whole
+		if lack := r.Step.Size.MilliCPU - w.SpareMilliCPU; lack > 0 {
+			s -= crowdWeight * float64(lack) / whole
+		}
+		s -= riskWeight * pacer.Risk(a.Model, w.Services, filler(r.Step, w))
+	case r.Step.Service:
+		s += float64(w.Free.MilliCPU)/whole + imageWeight*sameImage(r.Step.Image, w)
+	default:
 		s += float64(w.Free.MilliCPU)/whole + 0.5*float64(w.SpareMilliCPU)/whole
 	}
 	if r.Step.DataRack != "" && r.Step.DataRack == w.Rack {
@@ -182,3 +202,40 @@
 	}
 	return s
 }
+
+// filler describes a task of a filling step on a worker.
+func filler(step *carobrock.Step, w *Worker) pacer.Filler {
+	return pacer.Filler{Image: step.Image, Share: float64(step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))}
+}
+
+// sameImage returns the share of the worker's service tasks that run image, a
+// half for a worker without any.
+func sameImage(image string, w *Worker) float64 {
+	all := 0
+	for _, n := range w.Images {
+		all += n
+	}
+	if all == 0 {
+		return 0.5
+	}
+	return float64(w.Images[image]) / float64(all)
+}
+
+// press notes that a filler of a step presses on the worker's services, or with
+// sign -1 that it no longer does.
+func (a *Allocator) press(step *carobrock.Step, w *Worker, sign float64) {
+	f := filler(step, w)
+	for i := range w.Services {
+		w.Services[i].LogTail += sign * f.Share * a.Model.Pressure(w.Services[i].Image, f.Image)
+	}
+}
+
+// note counts a task of a step on the worker, or with sign -1 takes it back.
+func (a *Allocator) note(step *carobrock.Step, w *Worker, sign int) {
+	switch {
+	case step.Filler:
+		a.press(step, w, float64(sign))
+	case step.Service && w.Images != nil:
+		w.Images[step.Image] += sign
+	}
+}
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -1,6 +1,9 @@
 package allocator
 
-import "github.com/carobrock/carobrock"
+import (
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/pacer"
+)
 
 // Worker is a worker as an Allocator sees it. Place updates the amounts as it
 // assigns tasks.
@@ -24,9 +27,10 @@
 	// Distrust is 0 for a sound worker and rises to 1 for one on which
 	// everything fails or stands still.
 	Distrust float64
-	// Strain is the share of the worker's service tasks whose latency is near or
-	// above their target.
-	Strain float64
+	// Services are the service tasks on the worker that have a latency target.
+	Services []pacer.Service
+	// Images counts the service tasks on the worker by image.
+	Images map[string]int
 }
 
 // Request asks for workers for waiting tasks of one step.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/locator"
+	"github.com/carobrock/carobrock/internal/pacer"
 )
 
 // Leadership is the replicated log as the dispatcher sees it.
@@ -77,6 +78,7 @@
 	since   time.Time
 	workers map[string]*worker // by name
 	changed chan struct{}      // closed when the configuration may have changed
+	model   pacer.Model        // of the interference between images
 }
 
 var _ carobrock.JobControl = (*Dispatcher)(nil)
@@ -95,6 +97,7 @@
 	if d.Now == nil {
 		d.Now = time.Now
 	}
+	d.allocator.Model = &d.model
 	d.kick = make(chan struct{}, 1)
 	d.changed = make(chan struct{})
 	d.workers = map[string]*worker{}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -71,6 +71,10 @@
 	}
 	w.release()
 	w.take(r, now)
+	d.Ledger.View(func(s *bookkeeper.State) {
+		d.measure(s, w, now)
+		d.repace(s, w, now)
+	})
 	return w, true
 }
 
@@ -202,7 +206,7 @@
 	d.Ledger.View(func(s *bookkeeper.State) {
 		o := &carobrock.WorkerOrders{}
 		d.fill(s, w, o)
-		found = len(o.Start)+len(o.Stop)+len(o.Pace) > 0
+		found = len(o.Start)+len(o.Stop) > 0 || w.repaced
 	})
 	return found
 }
@@ -227,9 +231,7 @@
 	for i := range o.Start {
 		w.offered[o.Start[i].Run] = true
 	}
-	for i := range o.Pace {
-		w.paces[o.Pace[i].Run] = o.Pace[i].Percent
-	}
+	w.repaced = false
 	end := received.Add(time.Duration(float64(d.Settings.Lease)*(1+clockDrift)) + leaseSlack)
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
@@ -261,7 +263,7 @@
 			o.Stop = append(o.Stop, run)
 		}
 	}
-	o.Pace = d.paceOrders(s, w)
+	o.Pace = w.paceOrders()
 }
 
 // mayStart reports whether the worker may be given new runs.
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -157,13 +157,11 @@
 		v := &allocator.Worker{
 			Life: r.WorkerLife, Pool: r.Pool, AvailabilityZone: r.AvailabilityZone, Rack: r.Rack, Labels: r.Labels,
 			Capacity: r.Capacity, Free: r.Capacity, SpareMilliCPU: r.Capacity.MilliCPU, IsWaiting: w.waiting != nil,
-			Distrust: w.record.failureShare(now),
+			Distrust: w.record.failureShare(now), Images: map[string]int{},
 		}
 		if l := s.Lives[r.WorkerLife]; l != nil {
-			for _, step := range l.Runs {
-				v.Free = v.Free.Sub(step.Committed())
-				v.SpareMilliCPU -= expectedUse(step)
-			}
+			v.Services = w.services(l)
+			d.count(v, w, l, now)
 		}
 		out = append(out, v)
 	}
@@ -177,6 +175,26 @@
 	return out
 }
 
+// count takes what runs on a worker off its amounts. Fillers that the reported
+// tails do not contain yet are added to these.
+func (d *Dispatcher) count(v *allocator.Worker, w *worker, l *bookkeeper.Life, now time.Time) {
+	for run, step := range l.Runs {
+		v.Free = v.Free.Sub(step.Committed())
+		v.SpareMilliCPU -= expectedUse(step)
+		if step.Service {
+			v.Images[step.Image]++
+		}
+		if !step.Filler {
+			continue
+		}
+		f := w.filler(run, step, now)
+		for i := range v.Services {
+			x := &v.Services[i]
+			x.LogTail += d.model.Pressure(x.Image, f.Image) * f.Share * (1 - f.Felt*float64(f.Pace)/100)
+		}
+	}
+}
+
 // expectedUse returns the processor time that a task of a step is taken to use.
 func expectedUse(step *carobrock.Step) int64 {
 	if step.Service {
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -28,8 +28,15 @@
 	progress map[carobrock.Run]progress
 	// unwanted holds runs that are to be stopped though their tasks go on.
 	unwanted map[carobrock.Run]string
-	// paces holds the pace that each run was told, in percent.
-	paces map[carobrock.Run]int
+	// paces holds the pace of each run that was ever slowed, in percent; pacedAt
+	// is when one changed last, repaced is set until the worker was told.
+	paces   map[carobrock.Run]int
+	pacedAt time.Time
+	repaced bool
+	// tails holds the tail latencies of service tasks, since when each run was
+	// first listed.
+	tails map[carobrock.Run]*tail
+	since map[carobrock.Run]time.Time
 }
 
 // progress is how far a run was when it last advanced.
@@ -41,7 +48,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
-		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{},
+		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, tails: map[carobrock.Run]*tail{},
 	}
 }
 
@@ -51,6 +58,7 @@
 	w.listed = make(map[carobrock.Run]*carobrock.RunReport, len(r.Running))
 	clear(w.offered)
 	seen := make(map[carobrock.Run]progress, len(r.Running))
+	since := make(map[carobrock.Run]time.Time, len(r.Running))
 	for i := range r.Running {
 		x := &r.Running[i]
 		w.listed[x.Run] = x
@@ -59,8 +67,13 @@
 			p = progress{percent: x.Percent, at: now}
 		}
 		seen[x.Run] = p
+		if t, ok := w.since[x.Run]; ok {
+			since[x.Run] = t
+		} else {
+			since[x.Run] = now
+		}
 	}
-	w.progress = seen
+	w.progress, w.since = seen, since
 	for run := range w.unwanted {
 		if w.listed[run] == nil {
 			delete(w.unwanted, run)
--- /dev/null
+++ b/internal/pacer/pacer.go
@@ -0,0 +1,158 @@
+package pacer
+
+import "math"
+
+// Service is a service task on a VM.
+type Service struct {
+	// Image names what the task runs.
+	Image string
+	// LogTail is the logarithm of its tail latency, LogTarget that of the
+	// target, both of milliseconds.
+	LogTail   float64
+	LogTarget float64
+}
+
+// Filler is filling work on a VM.
+type Filler struct {
+	// Image names what the filler runs.
+	Image string
+	// Share is the part of the VM's processors that it uses at full pace.
+	Share float64
+	// Pace is its present pace, 0 to 100.
+	Pace int
+	// Felt is how much of its present pace the reported tails contain, 0 for a
+	// filler that has just started, to 1.
+	Felt float64
+}
+
+// Margins of the log tail below the target.
+const (
+	// lowerMargin is where fillers are slowed: a fifth below the target.
+	lowerMargin = 0.2
+	// raiseMargin is where they are let go again. The gap between the two keeps
+	// paces from swinging with the noise of the tails.
+	raiseMargin = 0.5
+	// minEffect is the least growth of the log tail for which a filler is slowed
+	// at all.
+	minEffect = 0.04
+	// paceStep rounds paces, in percent.
+	paceStep = 5
+	// maxRaise bounds how much a pace grows at a time, in percent.
+	maxRaise = 30
+)
+
+// Decide returns the paces of fillers at which no service task is expected to
+// be above its target: the fillers that press most on a slow service are slowed
+// first. A service that is slow without them slows nothing.
+func Decide(m *Model, services []Service, fillers []Filler) []int {
+	low := fit(m, services, fillers, lowerMargin)
+	high := fit(m, services, fillers, raiseMargin)
+	paces := make([]int, len(fillers))
+	for i := range fillers {
+		now := fillers[i].Pace
+		switch {
+		case low[i] < now:
+			paces[i] = low[i]
+		case high[i] > now:
+			paces[i] = min(high[i], now+maxRaise)
+		default:
+			paces[i] = now
+		}
+	}
+	return paces
+}
+
+// fit returns the highest paces, lowered greedily, at which the expected log
+// tails stay below their targets by margin.
+func fit(m *Model, services []Service, fillers []Filler, margin float64) []int {
+	effect := effects(m, services, fillers)
+	excess := make([]float64, len(services))
+	for s := range services {
+		excess[s] = services[s].LogTail - services[s].LogTarget + margin
+		for f := range fillers {
+			excess[s] += effect[s][f] * (1 - fillers[f].Felt*float64(fillers[f].Pace)/100)
+		}
+	}
+	pace := make([]float64, len(fillers))
+	for f := range pace {
+		pace[f] = 1
+	}
+	for range len(services) * (len(fillers) + 1) {
+		s := worst(excess)
+		if s < 0 {
+			break
+		}
+		f := strongest(effect[s], pace)
+		if f < 0 {
+			excess[s] = 0 // nothing beside it helps
+			continue
+		}
+		cut := math.Min(pace[f], excess[s]/effect[s][f])
+		pace[f] -= cut
+		for k := range services {
+			excess[k] -= effect[k][f] * cut
+		}
+	}
+	out := make([]int, len(fillers))
+	for f := range pace {
+		out[f] = int(pace[f]*100) / paceStep * paceStep
+	}
+	return out
+}
+
+// effects returns by how much each filler at full pace raises the log tail of
+// each service.
+func effects(m *Model, services []Service, fillers []Filler) [][]float64 {
+	out := make([][]float64, len(services))
+	for s := range services {
+		out[s] = make([]float64, len(fillers))
+		for f := range fillers {
+			out[s][f] = m.Pressure(services[s].Image, fillers[f].Image) * fillers[f].Share
+		}
+	}
+	return out
+}
+
+// worst returns the service with the largest excess above zero, -1 if none is.
+func worst(excess []float64) int {
+	at, most := -1, 1e-6
+	for s, x := range excess {
+		if x > most {
+			at, most = s, x
+		}
+	}
+	return at
+}
+
+// strongest returns the filler with the largest effect that can still be
+// slowed, -1 if none has an effect worth it.
+func strongest(effect, pace []float64) int {
+	at, most := -1, minEffect
+	for f, x := range effect {
+		if pace[f] > 0.01 && x > most {
+			at, most = f, x
+		}
+	}
+	return at
+}
+
+// Risk returns the expected number of service tasks that a new filler would
+// bring above their targets. The logistic curve stands for the noise of the
+// tails.
+func Risk(m *Model, services []Service, filler Filler) float64 {
+	sum := 0.0
+	for i := range services {
+		s := &services[i]
+		over := s.LogTail - s.LogTarget
+		sum += chance(over+m.Pressure(s.Image, filler.Image)*filler.Share) - chance(over)
+	}
+	return sum
+}
+
+// riskWidth is the width of the logistic curve in log tail: about half of the
+// noise of a smoothed tail.
+const riskWidth = 0.35
+
+func chance(over float64) float64 {
+	return 1 / (1 + math.Exp(-(over+lowerMargin)/riskWidth))
+}
