Interference as the load of a queue, learned within a job

Change: pacer works on loads; recursive least squares on differences between tasks of one job; a falling tail slows nothing further.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -226,7 +226,7 @@
 func (a *Allocator) press(step *carobrock.Step, w *Worker, sign float64) {
 	f := filler(step, w)
 	for i := range w.Services {
-		w.Services[i].LogTail += sign * f.Share * a.Model.Pressure(w.Services[i].Image, f.Image)
+		w.Services[i].Load += sign * f.Share * a.Model.Pressure(w.Services[i].Image, f.Image)
 	}
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -79,6 +79,9 @@
 	workers map[string]*worker // by name
 	changed chan struct{}      // closed when the configuration may have changed
 	model   pacer.Model        // of the interference between images
+	rest    pacer.Rest         // latencies of services at rest
+	// peers holds the samples of the service tasks of each job.
+	peers map[string]map[*sample]bool
 }
 
 var _ carobrock.JobControl = (*Dispatcher)(nil)
@@ -101,6 +104,7 @@
 	d.kick = make(chan struct{}, 1)
 	d.changed = make(chan struct{})
 	d.workers = map[string]*worker{}
+	d.peers = map[string]map[*sample]bool{}
 	d.intake.prepare()
 	d.Ledger.OnChange = d.stateChanged
 }
@@ -144,6 +148,7 @@
 			w.release()
 		}
 		d.workers = map[string]*worker{}
+		d.peers = map[string]map[*sample]bool{}
 		d.Logger.Info().Uint64("term", term).Msg("dispatcher: leads")
 	}
 	return nil
--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -13,67 +13,136 @@
 	// tailWindow is the time over which a worker measures a tail: the platform
 	// reports the last half second.
 	tailWindow = 500 * time.Millisecond
-	// tailHalfLife smooths the tails, which are rough figures.
-	tailHalfLife = 250 * time.Millisecond
+	// loadHalfLife smooths the loads, as tails are rough figures.
+	loadHalfLife = 150 * time.Millisecond
 	// paceSettle is how long after a change of pace the tails still contain the
-	// time before it; until then paces are only lowered.
+	// time before it.
 	paceSettle = 600 * time.Millisecond
+	// easingRatio is the fall of a tail from one report to the next at which it
+	// counts as easing.
+	easingRatio = 0.93
+	// sampleAge is how old the sample of a task may be to be compared with that
+	// of another of its job.
+	sampleAge = 400 * time.Millisecond
 )
 
-// tail is the smoothed tail latency of a service task.
-type tail struct {
-	log float64
-	at  time.Time
-	// learned is when the tail was last given to the model.
+// sample is what is known of a service task from its tail latency.
+type sample struct {
+	worker string
+	step   *carobrock.Step
+	// tail is the last reported tail in milliseconds, load the smoothed load.
+	tail   float64
+	load   float64
+	easing bool
+	at     time.Time
+	// raw is the load of the last report alone, shares what fillers used over
+	// its window; steady is set if that did not change meanwhile.
+	raw    float64
+	shares pacer.Shares
+	steady bool
+	// learned is when the sample was last given to the model.
 	learned time.Time
 }
 
-// measure smooths the tails of a heartbeat and lets the model learn from them.
-// The caller holds d.mu.
+// measure takes the tails of a heartbeat and lets the model learn from them. The
+// caller holds d.mu.
 func (d *Dispatcher) measure(s *bookkeeper.State, w *worker, now time.Time) {
 	l := s.Lives[w.report.WorkerLife]
 	if l == nil {
 		return
 	}
-	for run := range w.tails {
+	for run := range w.samples {
 		if w.listed[run] == nil {
-			delete(w.tails, run)
+			d.forget(w, run)
 		}
 	}
-	shares := w.shares(l, now)
+	shares, steady := w.shares(l, now)
 	for i := range w.report.Running {
 		x := &w.report.Running[i]
 		step := l.Runs[x.Run]
 		if step == nil || !step.Service || step.TailTargetMillis == 0 || x.Percent < 100 || x.TailMillis <= 0 {
 			continue
 		}
-		t, log := w.tails[x.Run], math.Log(float64(x.TailMillis))
-		if t == nil {
-			t = &tail{log: log, at: now, learned: now}
-			w.tails[x.Run] = t
+		m := w.samples[x.Run]
+		if m == nil {
+			m = &sample{worker: w.report.Name, step: step}
+			w.samples[x.Run] = m
+			d.remember(m, x.Run)
+		}
+		d.rest.Observe(step.Image, float64(x.TailMillis))
+		m.take(d.rest.Load(step.Image, float64(step.TailTargetMillis), float64(x.TailMillis)), float64(x.TailMillis), now)
+		m.shares, m.steady = shares, steady
+		d.learn(x.Task.Job, m, now)
+	}
+}
+
+// take notes a report.
+func (m *sample) take(load, tail float64, now time.Time) {
+	keep := halve(now.Sub(m.at), loadHalfLife)
+	m.load = keep*m.load + (1-keep)*load
+	m.easing = tail < easingRatio*m.tail
+	m.tail, m.raw, m.at = tail, load, now
+}
+
+// remember and forget keep the samples of each job together.
+func (d *Dispatcher) remember(m *sample, run carobrock.Run) {
+	if d.peers[run.Task.Job] == nil {
+		d.peers[run.Task.Job] = map[*sample]bool{}
+	}
+	d.peers[run.Task.Job][m] = true
+}
+
+func (d *Dispatcher) forget(w *worker, run carobrock.Run) {
+	m := w.samples[run]
+	delete(w.samples, run)
+	delete(d.peers[run.Task.Job], m)
+	if len(d.peers[run.Task.Job]) == 0 {
+		delete(d.peers, run.Task.Job)
+	}
+}
+
+// learn compares a sample with the other tasks of its job, which share its load
+// but not what is beside them.
+func (d *Dispatcher) learn(job string, m *sample, now time.Time) {
+	if !m.steady || now.Sub(m.learned) < tailWindow {
+		return
+	}
+	n, load, others := 0.0, 0.0, pacer.Shares{}
+	for o := range d.peers[job] {
+		if o == m || o.worker == m.worker || !o.steady || now.Sub(o.at) > sampleAge || o.step != m.step {
 			continue
 		}
-		keep := halve(now.Sub(t.at), tailHalfLife)
-		t.log, t.at = keep*t.log+(1-keep)*log, now
-		if now.Sub(t.learned) >= tailWindow {
-			d.model.Observe(step.Image, shares, log)
-			t.learned = now
+		n++
+		load += o.raw
+		for image, share := range o.shares {
+			others[image] += share
 		}
 	}
+	if n == 0 {
+		return
+	}
+	for image := range others {
+		others[image] /= n
+	}
+	m.learned = now
+	d.model.Observe(m.step.Image, m.shares, others, m.raw-load/n)
 }
 
-// shares returns what the fillers on a worker used over the last tail window.
-func (w *worker) shares(l *bookkeeper.Life, now time.Time) []pacer.Share {
-	var out []pacer.Share
+// shares returns what the fillers on a worker used over the last tail window,
+// and whether that was steady.
+func (w *worker) shares(l *bookkeeper.Life, now time.Time) (pacer.Shares, bool) {
+	out := pacer.Shares{}
+	steady := now.Sub(w.pacedAt) >= paceSettle && now.Sub(w.runEnded) >= paceSettle
 	for run := range w.listed {
 		step := l.Runs[run]
 		if step == nil || !step.Filler {
 			continue
 		}
 		f := w.filler(run, step, now)
-		out = append(out, pacer.Share{Image: step.Image, Share: f.Share * f.Felt * float64(f.Pace) / 100})
+		steady = steady && f.Felt == 1
+		out[step.Image] += f.Share * f.Felt * float64(f.Pace) / 100
 	}
-	return out
+	return out, steady
 }
 
 // filler describes a filler on the worker.
@@ -89,12 +158,13 @@
 }
 
 // services describes the service tasks on the worker that have a target.
-func (w *worker) services(l *bookkeeper.Life) []pacer.Service {
+func (w *worker) services(rest *pacer.Rest) []pacer.Service {
 	var out []pacer.Service
-	for run, t := range w.tails {
-		if step := l.Runs[run]; step != nil {
-			out = append(out, pacer.Service{Image: step.Image, LogTail: t.log, LogTarget: math.Log(float64(step.TailTargetMillis))})
-		}
+	for _, m := range w.samples {
+		target := float64(m.step.TailTargetMillis)
+		out = append(out, pacer.Service{
+			Image: m.step.Image, Load: m.load, Limit: rest.Load(m.step.Image, target, target), Easing: m.easing,
+		})
 	}
 	return out
 }
@@ -114,9 +184,9 @@
 		}
 	}
 	settled := now.Sub(w.pacedAt) >= paceSettle
-	for i, pace := range pacer.Decide(&d.model, w.services(l), fillers) {
+	for i, pace := range pacer.Decide(&d.model, w.services(&d.rest), fillers) {
 		before := fillers[i].Pace
-		if pace == before || pace > before && !settled {
+		if pace == before || !settled && fillers[i].Felt == 1 {
 			continue
 		}
 		w.paces[runs[i]] = pace
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -160,7 +160,7 @@
 			Distrust: w.record.failureShare(now), Images: map[string]int{},
 		}
 		if l := s.Lives[r.WorkerLife]; l != nil {
-			v.Services = w.services(l)
+			v.Services = w.services(&d.rest)
 			d.count(v, w, l, now)
 		}
 		out = append(out, v)
@@ -190,7 +190,7 @@
 		f := w.filler(run, step, now)
 		for i := range v.Services {
 			x := &v.Services[i]
-			x.LogTail += d.model.Pressure(x.Image, f.Image) * f.Share * (1 - f.Felt*float64(f.Pace)/100)
+			x.Load += d.model.Pressure(x.Image, f.Image) * f.Share * (1 - f.Felt*float64(f.Pace)/100)
 		}
 	}
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -33,10 +33,12 @@
 	paces   map[carobrock.Run]int
 	pacedAt time.Time
 	repaced bool
-	// tails holds the tail latencies of service tasks, since when each run was
-	// first listed.
-	tails map[carobrock.Run]*tail
-	since map[carobrock.Run]time.Time
+	// samples holds what the tail latencies of service tasks tell, since when
+	// each run was first listed.
+	samples map[carobrock.Run]*sample
+	since   map[carobrock.Run]time.Time
+	// runEnded is when a run that had been listed was listed no more.
+	runEnded time.Time
 }
 
 // progress is how far a run was when it last advanced.
@@ -48,7 +50,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
-		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, tails: map[carobrock.Run]*tail{},
+		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, samples: map[carobrock.Run]*sample{},
 	}
 }
 
@@ -73,6 +75,11 @@
 			since[x.Run] = now
 		}
 	}
+	for run := range w.since {
+		if _, ok := since[run]; !ok {
+			w.runEnded = now
+		}
+	}
 	w.progress, w.since = seen, since
 	for run := range w.unwanted {
 		if w.listed[run] == nil {
--- a/internal/pacer/model.go
+++ b/internal/pacer/model.go
@@ -3,17 +3,16 @@
 import "math"
 
 const (
-	// priorPressure is the factor of a pair of which nothing is known: some of
-	// the light pairs' and some of the heavy pairs'.
-	priorPressure = 2.0
+	// priorPressure is the factor of a pair of which nothing is known, between
+	// those of light and of heavy pairs.
+	priorPressure = 0.8
 	// priorSpread is the standard deviation of factors over pairs.
-	priorSpread = 3.0
-	// baseSpread is the standard deviation of the log tail of images at rest.
-	baseSpread = 5.0
-	// noise is the standard deviation of a reported log tail about the model.
-	noise = 0.7
-	// forgetting lets the past fade, as the load behind a tail swings: an
-	// estimate rests on about the last 2000 observations.
+	priorSpread = 1.0
+	// noise is the standard deviation of the difference of two reported loads
+	// about the model.
+	noise = 0.07
+	// forgetting lets the past fade: an estimate rests on about the last 2000
+	// observations.
 	forgetting = 1.0 / 2000
 	// maxFillers bounds the filler images that a model tells apart; later ones
 	// are taken for unknown.
@@ -27,57 +26,60 @@
 	services map[string]*estimate
 }
 
-// estimate is a recursive least squares estimate for one service image: column
-// 0 is its log tail at rest, the others are pressures.
+// estimate is a recursive least squares estimate for one service image.
 type estimate struct {
 	mean []float64
 	cov  [][]float64
 }
 
-// Share is the part of a VM's processors that fillers of one image use.
-type Share struct {
-	// Image names what the fillers run.
-	Image string
-	// Share is 0 to 1, or above on a VM that is asked for too much.
-	Share float64
-}
+// Shares are the parts of a VM's processors that fillers use, by image.
+type Shares map[string]float64
 
-// Pressure returns by how much the log tail of a service task grows if fillers
-// of an image use the whole VM. It is never negative.
+// Pressure returns by how much the load of a service task grows if fillers of
+// an image use the whole VM. It is never negative.
 func (m *Model) Pressure(service, filler string) float64 {
 	e := m.services[service]
 	i := m.fillers[filler]
-	if e == nil || i == 0 || i >= len(e.mean) {
+	if e == nil || i == 0 || i > len(e.mean) {
 		return priorPressure
 	}
-	return math.Max(0, e.mean[i])
+	return math.Max(0, e.mean[i-1])
 }
 
-// Observe takes one report: the log tail of a service task while fillers used
-// the shares.
-func (m *Model) Observe(service string, shares []Share, logTail float64) {
+// Observe takes the difference between the loads of two tasks of one service
+// and between the shares of the fillers beside them.
+func (m *Model) Observe(service string, shares, others Shares, difference float64) {
 	if m.fillers == nil {
 		m.fillers, m.services = map[string]int{}, map[string]*estimate{}
 	}
-	for _, s := range shares {
-		if m.fillers[s.Image] == 0 && len(m.fillers) < maxFillers {
-			m.fillers[s.Image] = len(m.fillers) + 1
-		}
-	}
+	m.learnNames(shares)
+	m.learnNames(others)
 	e := m.services[service]
 	if e == nil {
-		e = &estimate{mean: []float64{logTail}, cov: [][]float64{{baseSpread * baseSpread}}}
+		e = &estimate{}
 		m.services[service] = e
 	}
-	e.grow(len(m.fillers) + 1)
+	e.grow(len(m.fillers))
 	x := make([]float64, len(e.mean))
-	x[0] = 1
-	for _, s := range shares {
-		if i := m.fillers[s.Image]; i > 0 {
-			x[i] += s.Share
+	m.add(x, shares, 1)
+	m.add(x, others, -1)
+	e.update(x, difference)
+}
+
+func (m *Model) learnNames(shares Shares) {
+	for image := range shares {
+		if m.fillers[image] == 0 && len(m.fillers) < maxFillers {
+			m.fillers[image] = len(m.fillers) + 1
+		}
+	}
+}
+
+func (m *Model) add(x []float64, shares Shares, sign float64) {
+	for image, share := range shares {
+		if i := m.fillers[image]; i > 0 {
+			x[i-1] += sign * share
 		}
 	}
-	e.update(x, logTail)
 }
 
 // grow adds columns with the prior.
@@ -111,9 +113,8 @@
 	for i := range n {
 		e.mean[i] += gain[i] / spread * miss
 		for j := range n {
-			e.cov[i][j] -= gain[i] * gain[j] / spread
-			e.cov[i][j] *= 1 + forgetting
+			e.cov[i][j] = (e.cov[i][j] - gain[i]*gain[j]/spread) * (1 + forgetting)
 		}
-		e.cov[i][i] = math.Min(e.cov[i][i], baseSpread*baseSpread)
+		e.cov[i][i] = math.Min(e.cov[i][i], priorSpread*priorSpread)
 	}
 }
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -6,10 +6,13 @@
 type Service struct {
 	// Image names what the task runs.
 	Image string
-	// LogTail is the logarithm of its tail latency, LogTarget that of the
-	// target, both of milliseconds.
-	LogTail   float64
-	LogTarget float64
+	// Load is its load, Limit the load at which its tail latency reaches the
+	// target.
+	Load  float64
+	Limit float64
+	// Easing is set while the tail falls: what queued up before is being worked
+	// off, and the load is lower than the tail tells.
+	Easing bool
 }
 
 // Filler is filling work on a VM.
@@ -25,16 +28,17 @@
 	Felt float64
 }
 
-// Margins of the log tail below the target.
+// Margins of the load below its limit.
 const (
-	// lowerMargin is where fillers are slowed: a fifth below the target.
-	lowerMargin = 0.2
+	// lowerMargin is where fillers are slowed: the tail is then about three
+	// quarters of the target.
+	lowerMargin = 0.05
 	// raiseMargin is where they are let go again. The gap between the two keeps
 	// paces from swinging with the noise of the tails.
-	raiseMargin = 0.5
-	// minEffect is the least growth of the log tail for which a filler is slowed
-	// at all.
-	minEffect = 0.04
+	raiseMargin = 0.1
+	// minEffect is the least growth of the load for which a filler is slowed at
+	// all.
+	minEffect = 0.01
 	// paceStep rounds paces, in percent.
 	paceStep = 5
 	// maxRaise bounds how much a pace grows at a time, in percent.
@@ -62,13 +66,16 @@
 	return paces
 }
 
-// fit returns the highest paces, lowered greedily, at which the expected log
-// tails stay below their targets by margin.
+// fit returns the highest paces, lowered greedily, at which the expected
+// loads stay below their limits by margin.
 func fit(m *Model, services []Service, fillers []Filler, margin float64) []int {
 	effect := effects(m, services, fillers)
 	excess := make([]float64, len(services))
 	for s := range services {
-		excess[s] = services[s].LogTail - services[s].LogTarget + margin
+		excess[s] = services[s].Load - services[s].Limit + margin
+		if services[s].Easing {
+			excess[s] = min(excess[s], 0)
+		}
 		for f := range fillers {
 			excess[s] += effect[s][f] * (1 - fillers[f].Felt*float64(fillers[f].Pace)/100)
 		}
@@ -100,7 +107,7 @@
 	return out
 }
 
-// effects returns by how much each filler at full pace raises the log tail of
+// effects returns by how much each filler at full pace raises the load of
 // each service.
 func effects(m *Model, services []Service, fillers []Filler) [][]float64 {
 	out := make([][]float64, len(services))
@@ -138,20 +145,20 @@
 
 // Risk returns the expected number of service tasks that a new filler would
 // bring above their targets. The logistic curve stands for the noise of the
-// tails.
+// loads and for their changes while the filler runs.
 func Risk(m *Model, services []Service, filler Filler) float64 {
 	sum := 0.0
 	for i := range services {
 		s := &services[i]
-		over := s.LogTail - s.LogTarget
+		over := s.Load - s.Limit
 		sum += chance(over+m.Pressure(s.Image, filler.Image)*filler.Share) - chance(over)
 	}
 	return sum
 }
 
-// riskWidth is the width of the logistic curve in log tail: about half of the
-// noise of a smoothed tail.
-const riskWidth = 0.35
+// riskWidth is the width of the logistic curve in load: about the change of a
+// service's load within the run time of a filler.
+const riskWidth = 0.07
 
 func chance(over float64) float64 {
 	return 1 / (1 + math.Exp(-(over+lowerMargin)/riskWidth))
