Fillers wait for a harmless place and are moved away from where they are slowed

Cause: fillers stood at pace 0 beside services that they press on, while other workers had none; placement took the least bad worker at once. Change: placement leaves a filler waiting while every worker is risky, more patient for fresh jobs; slowed fillers are stopped where another worker is harmless and resume there.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -150,6 +150,9 @@
 		if rack != "" && w.Rack != rack || !Fits(r, w) {
 			continue
 		}
+		if r.Step.Filler && a.risk(r.Step, w) > r.MaxRisk {
+			continue
+		}
 		if s := a.score(r, w); top == nil || s > topScore {
 			top, topScore = w, s
 		}
@@ -188,7 +191,7 @@
 		if lack := r.Step.Size.MilliCPU - w.SpareMilliCPU; lack > 0 {
 			s -= crowdWeight * float64(lack) / whole
 		}
-		s -= riskWeight * pacer.Risk(a.Model, w.Services, filler(r.Step, w))
+		s -= riskWeight * a.risk(r.Step, w)
 	case r.Step.Service:
 		s += float64(w.Free.MilliCPU)/whole + imageWeight*sameImage(r.Step.Image, w)
 	default:
@@ -203,6 +206,25 @@
 	return s
 }
 
+// risk returns the expected number of the worker's service tasks that a filler
+// of a step would bring above their targets.
+func (a *Allocator) risk(step *carobrock.Step, w *Worker) float64 {
+	return pacer.Risk(a.Model, w.Services, filler(step, w))
+}
+
+// FindBetter returns a worker on which a filler of a step harms nobody and finds
+// spare processors, nil if there is none, and counts the filler there.
+func (a *Allocator) FindBetter(r *Request, workers []*Worker) *Worker {
+	w := a.best(r, workers, "")
+	if w == nil || w.SpareMilliCPU < r.Step.Size.MilliCPU {
+		return nil
+	}
+	w.Free = w.Free.Sub(r.Step.Committed())
+	w.SpareMilliCPU -= r.Step.Size.MilliCPU
+	a.note(r.Step, w, 1)
+	return w
+}
+
 // filler describes a task of a filling step on a worker.
 func filler(step *carobrock.Step, w *Worker) pacer.Filler {
 	return pacer.Filler{Image: step.Image, Share: float64(step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -59,6 +59,7 @@
 		}
 		if w != nil {
 			d.endLife(w, "worker started again")
+			d.drop(w)
 		}
 		w = newWorker()
 		d.workers[r.Name] = w
@@ -87,6 +88,7 @@
 	for name, w := range d.workers {
 		if w.report != nil && w.report.Machine == r.Machine && w.report.WorkerLife != r.WorkerLife && w.report.Started <= r.Started {
 			d.endLife(w, "machine has a new worker")
+			d.drop(w)
 			delete(d.workers, name)
 		}
 	}
@@ -278,12 +280,15 @@
 	}
 	d.mu.Lock()
 	w := d.workers[name]
+	if w != nil {
+		d.drop(w)
+		w.release()
+	}
 	delete(d.workers, name)
 	d.mu.Unlock()
 	if w == nil {
 		return nil
 	}
-	w.release()
 	d.Logger.Info().Str("worker", name).Msg("dispatcher: worker left")
 	_, _, err := d.commit(ctx, func(c *carobrock.JobCommand) int {
 		c.Lost = append(c.Lost, carobrock.LostWorker{Life: w.report.WorkerLife, Checkpoints: w.checkpoints(), Gone: true})
--- /dev/null
+++ b/internal/dispatcher/move.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/allocator"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+)
+
+const (
+	// slowPace is the pace, in percent, at or below which a filler is better off
+	// elsewhere.
+	slowPace = 20
+	// slowTime is how long a filler must have been that slow: its service's load
+	// may be about to fall.
+	slowTime = time.Second
+	// moveRisk bounds the risk for services at the new place.
+	moveRisk = 0.05
+	// maxMoves bounds the fillers that are moved in one turn.
+	maxMoves = 8
+	// lostPercent is how far a filler that saves nothing may be to be moved.
+	lostPercent = 15
+)
+
+// moveSlowed stops fillers that hardly go on, where another worker has room for
+// them. They resume there from the checkpoint that the stop makes.
+func (d *Dispatcher) moveSlowed(s *bookkeeper.State, view []*allocator.Worker, now time.Time) {
+	moves := 0
+	for name, w := range d.workers {
+		l := s.Lives[w.report.WorkerLife]
+		if l == nil || now.Sub(w.pacedAt) > 10*slowTime && len(w.paces) == 0 {
+			continue
+		}
+		for run, pace := range w.paces {
+			step := l.Runs[run]
+			if moves >= maxMoves || step == nil || pace > slowPace || now.Sub(w.slowSince[run]) < slowTime || w.unwanted[run] != "" {
+				continue
+			}
+			if !step.Checkpoints && w.progress[run].percent > lostPercent || !s.IsActive(w.report.WorkerLife, run) {
+				continue
+			}
+			j, _, _ := s.Task(run.Task)
+			r := &allocator.Request{
+				Job: run.Task.Job, Step: step, Pool: j.Queue.Pool, MaxRisk: moveRisk,
+				Avoid: map[carobrock.WorkerLife]bool{w.report.WorkerLife: true},
+			}
+			to := d.allocator.FindBetter(r, view)
+			if to == nil {
+				continue
+			}
+			moves++
+			w.unwanted[run] = "slowed"
+			d.Logger.Debug().Str("worker", name).Str("job", run.Task.Job).Int("pace", pace).Str("to", to.Life.Name).Msg("dispatcher: slowed filler is moved")
+			w.release()
+		}
+	}
+}
--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -69,7 +69,9 @@
 			w.samples[x.Run] = m
 			d.remember(m, x.Run)
 		}
-		d.rest.Observe(step.Image, float64(x.TailMillis))
+		if now.Sub(w.since[x.Run]) >= 2*tailWindow {
+			d.rest.Observe(step.Image, float64(x.TailMillis))
+		}
 		m.take(d.rest.Load(step.Image, float64(step.TailTargetMillis), float64(x.TailMillis)), float64(x.TailMillis), now)
 		m.shares, m.steady = shares, steady
 		d.learn(x.Task.Job, m, now)
@@ -101,6 +103,13 @@
 	}
 }
 
+// drop forgets the samples of a worker that is gone. The caller holds d.mu.
+func (d *Dispatcher) drop(w *worker) {
+	for run := range w.samples {
+		d.forget(w, run)
+	}
+}
+
 // learn compares a sample with the other tasks of its job, which share its load
 // but not what is beside them.
 func (d *Dispatcher) learn(job string, m *sample, now time.Time) {
@@ -190,6 +199,11 @@
 			continue
 		}
 		w.paces[runs[i]] = pace
+		if pace > slowPace {
+			delete(w.slowSince, runs[i])
+		} else if w.slowSince[runs[i]].IsZero() {
+			w.slowSince[runs[i]] = now
+		}
 		w.pacedAt = now
 		w.repaced = true
 		d.Logger.Debug().Str("worker", w.report.Name).Str("job", runs[i].Task.Job).Str("image", fillers[i].Image).Int("before", before).Int("pace", pace).
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -71,10 +71,11 @@
 		d.findLost(s, now, c)
 		d.findWithdrawn(s, now, c)
 		d.releaseStops(s)
-		requests := d.requests(s)
-		if len(requests) > 0 {
-			c.Assign = d.allocator.Place(requests, d.view(s, now), maxAssignments)
+		view := d.view(s, now)
+		if requests := d.requests(s); len(requests) > 0 {
+			c.Assign = d.allocator.Place(requests, view, maxAssignments)
 		}
+		d.moveSlowed(s, view, now)
 	})
 	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 {
 		return nil
@@ -105,6 +106,7 @@
 			d.Logger.Warn().Str("worker", life.Name).Int("runs", len(l.Runs)).Dur("silent", now.Sub(w.received)).Msg("dispatcher: worker is silent, its leases have expired")
 			c.Lost = append(c.Lost, carobrock.LostWorker{Life: life, Checkpoints: w.checkpoints()})
 			w.release()
+			d.drop(w)
 			delete(d.workers, life.Name)
 		}
 	}
@@ -218,6 +220,7 @@
 			}
 			for i := range j.Spec.Steps {
 				if r, ok := request(j, o, k, i); ok {
+					r.MaxRisk = patience(at - j.SubmittedUnixMillis)
 					ranks[r.Step] = rank(j, r.Step)
 					out = append(out, r)
 				}
@@ -228,6 +231,19 @@
 	return out
 }
 
+const (
+	// firstRisk is the risk for services at which a fresh filler is placed,
+	// riskPerSecond by how much it grows while its job waits: work that finds no
+	// good place is not put off for ever, and the pacer watches over it.
+	firstRisk     = 0.1
+	riskPerSecond = 0.03
+)
+
+// patience returns the risk that a filler of a job of an age may bring.
+func patience(ageMillis int64) float64 {
+	return firstRisk + riskPerSecond*float64(max(0, ageMillis))/1000
+}
+
 // rank orders steps: service tasks first, then by the queue's priority.
 func rank(j *bookkeeper.Job, step *carobrock.Step) int {
 	if step.Service {
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -33,6 +33,8 @@
 	paces   map[carobrock.Run]int
 	pacedAt time.Time
 	repaced bool
+	// slowSince tells since when a run's pace is at most slowPace.
+	slowSince map[carobrock.Run]time.Time
 	// samples holds what the tail latencies of service tasks tell, since when
 	// each run was first listed.
 	samples map[carobrock.Run]*sample
@@ -50,7 +52,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
-		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, samples: map[carobrock.Run]*sample{},
+		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, slowSince: map[carobrock.Run]time.Time{}, samples: map[carobrock.Run]*sample{},
 	}
 }
 
@@ -89,6 +91,7 @@
 	for run := range w.paces {
 		if w.listed[run] == nil {
 			delete(w.paces, run)
+			delete(w.slowSince, run)
 		}
 	}
 }
