A worker that has just joined holds leases

Ruled out: late answers, withdrawn runs (not near). Change: a worker enters the table with a full lease. TestLateWorkerKeepsItsRuns failed before (attempt 2 in place of 1).

--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -62,6 +62,8 @@
 			d.drop(w)
 		}
 		w = newWorker()
+		// An earlier answer of this leader may have been lost on its way to it.
+		w.leaseEnd = d.leaseEnd(now)
 		d.workers[r.Name] = w
 		d.endEarlierLives(r)
 		d.Logger.Info().Str("worker", r.Name).Int64("started", r.Started).Str("machine", r.Machine).
@@ -234,8 +236,7 @@
 		w.offered[o.Start[i].Run] = true
 	}
 	w.repaced = false
-	end := received.Add(time.Duration(float64(d.Settings.Lease)*(1+clockDrift)) + leaseSlack)
-	if end.After(w.leaseEnd) {
+	if end := d.leaseEnd(received); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 	if term, ok := d.Leadership.Term(); !ok || term != o.FencingToken {
@@ -244,6 +245,12 @@
 	return o, nil
 }
 
+// leaseEnd returns when a lease granted in answer to a heartbeat that came at
+// received has expired on the worker's clock, at the latest.
+func (d *Dispatcher) leaseEnd(received time.Time) time.Time {
+	return received.Add(time.Duration(float64(d.Settings.Lease)*(1+clockDrift)) + leaseSlack)
+}
+
 // fill derives the orders from the recorded state and the newest heartbeat. The
 // caller holds d.mu.
 func (d *Dispatcher) fill(s *bookkeeper.State, w *worker, o *carobrock.WorkerOrders) {
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -98,11 +98,7 @@
 			}
 			continue
 		}
-		end := w.leaseEnd
-		if inherited.After(end) && w.leaseEnd.IsZero() {
-			end = inherited
-		}
-		if now.After(end) {
+		if now.After(w.leaseEnd) && now.After(inherited) {
 			d.Logger.Warn().Str("worker", life.Name).Int("runs", len(l.Runs)).Dur("silent", now.Sub(w.received)).Msg("dispatcher: worker is silent, its leases have expired")
 			c.Lost = append(c.Lost, carobrock.LostWorker{Life: life, Checkpoints: w.checkpoints()})
 			w.release()
