Withdrawn, lost and overtaken runs: no order leaves meanwhile

Change: runs listed as ended count as held; a withdrawn run is not started, a lost worker told nothing until the command is settled; a heartbeat of an earlier life on a machine is ignored. Tests: TestEndOnItsWayIsNotWithdrawn, TestWithdrawnRunIsNotStarted, TestHeldUpHeartbeatOfAnEarlierLifeIsIgnored, each seen failing without the change.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 )
@@ -135,3 +136,84 @@
 		}
 	})
 }
+
+// A run whose end was being recorded was once taken for one that had never
+// reached its worker, and started again.
+func TestEndOnItsWayIsNotWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		a, b := w.vm("a", 4), w.vm("b", 4)
+		b.report.AvailabilityZone = "az2"
+		w.must(a.beat())
+		w.submit("job", cores(2))
+		a.beatFor(300 * time.Millisecond)
+		w.must(w.d.SetZone(context.Background(), carobrock.ZoneOrder{Name: "az1", OutOfService: true}))
+		a.end(a.report.Running[0].Run, carobrock.EndSucceeded)
+		// The end waits behind another change while the heartbeat of another
+		// worker wakes the placement loop.
+		w.group.mu.Lock()
+		w.group.slowness = 3 * commitTime
+		w.group.mu.Unlock()
+		calls := conc.NewWaitGroup()
+		calls.Go(func() { w.submit("other", cores(1)) })
+		time.Sleep(commitTime / 5)
+		calls.Go(func() { w.must(a.beat()) })
+		time.Sleep(commitTime / 5)
+		w.must(b.beat())
+		calls.Wait()
+		b.beatFor(500 * time.Millisecond)
+		for _, run := range b.runs() {
+			if run == "job.0#2" || run == "job.1#2" {
+				t.Errorf("%s was started though run 1 had succeeded or goes on", run)
+			}
+		}
+	})
+}
+
+// A start order once left while the withdrawal of its run was on its way into
+// the log.
+func TestWithdrawnRunIsNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		a, b := w.vm("a", 4), w.vm("b", 4)
+		w.must(a.beat())
+		w.submit("job", cores(1)) // assigned to a while it is thought to be there
+		// The withdrawal begins some 600 ms after the heartbeat and takes a while.
+		time.Sleep(400 * time.Millisecond)
+		w.group.mu.Lock()
+		w.group.slowness = 20 * commitTime
+		w.group.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		began := map[string]bool{}
+		for range 40 {
+			time.Sleep(20 * time.Millisecond)
+			calls := conc.NewWaitGroup()
+			calls.Go(func() { w.must(a.beat()) })
+			calls.Go(func() { w.must(b.beat()) })
+			calls.Wait()
+			for _, run := range append(a.runs(), b.runs()...) {
+				began[run] = true
+			}
+		}
+		if len(began) != 1 {
+			t.Errorf("runs %v began, though none failed", began)
+		}
+	})
+}
+
+func TestHeldUpHeartbeatOfAnEarlierLifeIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		a, b := w.vm("a", 4), w.vm("b", 4)
+		b.report.Machine, b.report.Started = "m-a", 2
+		w.must(a.beat())
+		w.must(b.beat())
+		w.must(a.beat())
+		if a.orders.LeaseMillis != 0 {
+			t.Errorf("the earlier life got a lease of %d ms", a.orders.LeaseMillis)
+		}
+	})
+}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -54,7 +54,7 @@
 			return nil, false
 		}
 	} else {
-		if w != nil && r.Started < w.report.Started {
+		if w != nil && r.Started < w.report.Started || d.isOverOn(r) {
 			return nil, false
 		}
 		if w != nil {
@@ -81,6 +81,17 @@
 	return w, true
 }
 
+// isOverOn reports whether a later life runs on the machine of r: its heartbeat
+// was held up on the way. The caller holds d.mu.
+func (d *Dispatcher) isOverOn(r *carobrock.WorkerReport) bool {
+	for _, w := range d.workers {
+		if r.Machine != "" && w.report.Machine == r.Machine && w.report.Started > r.Started {
+			return true
+		}
+	}
+	return false
+}
+
 // endEarlierLives records that earlier lives on the machine of r are over. The
 // caller holds d.mu.
 func (d *Dispatcher) endEarlierLives(r *carobrock.WorkerReport) {
@@ -220,7 +231,7 @@
 func (d *Dispatcher) orders(w *worker, r *carobrock.WorkerReport, received time.Time) (*carobrock.WorkerOrders, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w.report != r {
+	if w.report != r || w.losing {
 		return &carobrock.WorkerOrders{}, nil
 	}
 	o := &carobrock.WorkerOrders{
@@ -257,7 +268,7 @@
 	life := w.report.WorkerLife
 	if l := s.Lives[life]; l != nil && d.mayStart(s, w) {
 		for run := range l.Runs {
-			if w.listed[run] != nil || !s.IsActive(life, run) {
+			if w.listed[run] != nil || w.ended[run] || w.withdrawn[run] || !s.IsActive(life, run) {
 				continue
 			}
 			j, _, t := s.Task(run.Task)
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -47,14 +47,28 @@
 			d.Logger.Warn().Err(err).Int("assignments", len(c.Assign)).Msg("dispatcher: turn not committed")
 			continue
 		}
-		d.releaseWithOrders(c)
+		d.settle(c)
 	}
 }
 
-// releaseWithOrders answers the heartbeats of the workers that have new runs.
-func (d *Dispatcher) releaseWithOrders(c *carobrock.JobCommand) {
+// settle draws the conclusions from a command that was committed: lost workers
+// may come back, and heartbeats of workers with new runs are answered.
+func (d *Dispatcher) settle(c *carobrock.JobCommand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for i := range c.Lost {
+		w := d.workers[c.Lost[i].Life.Name]
+		if w == nil || w.report.WorkerLife != c.Lost[i].Life {
+			continue
+		}
+		d.drop(w)
+		delete(d.workers, c.Lost[i].Life.Name)
+	}
+	for i := range c.Withdrawn {
+		if w := d.workers[c.Withdrawn[i].Life.Name]; w != nil {
+			delete(w.withdrawn, carobrock.Run{Task: c.Withdrawn[i].Task, Attempt: c.Withdrawn[i].Attempt})
+		}
+	}
 	for i := range c.Assign {
 		if w := d.workers[c.Assign[i].Life.Name]; w != nil {
 			w.release()
@@ -98,12 +112,11 @@
 			}
 			continue
 		}
-		if now.After(w.leaseEnd) && now.After(inherited) {
+		if w.losing || now.After(w.leaseEnd) && now.After(inherited) {
 			d.Logger.Warn().Str("worker", life.Name).Int("runs", len(l.Runs)).Dur("silent", now.Sub(w.received)).Msg("dispatcher: worker is silent, its leases have expired")
 			c.Lost = append(c.Lost, carobrock.LostWorker{Life: life, Checkpoints: w.checkpoints()})
+			w.losing = true
 			w.release()
-			d.drop(w)
-			delete(d.workers, life.Name)
 		}
 	}
 }
@@ -113,15 +126,16 @@
 func (d *Dispatcher) findWithdrawn(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
 	for name, w := range d.workers {
 		l := s.Lives[w.report.WorkerLife]
-		if l == nil || len(l.Runs) == len(w.listed) {
+		if l == nil || w.losing {
 			continue
 		}
 		silent := now.Sub(w.received) > silentAfter && w.waiting == nil
 		for run := range l.Runs {
-			if w.listed[run] != nil || w.offered[run] {
+			if w.holds(run) {
 				continue
 			}
-			if silent || !d.mayStart(s, w) || !s.IsActive(w.report.WorkerLife, run) {
+			if silent || !d.mayStart(s, w) || !s.IsActive(w.report.WorkerLife, run) || w.withdrawn[run] {
+				w.withdrawn[run] = true
 				d.Logger.Info().Str("worker", name).Str("job", run.Task.Job).Uint64("attempt", run.Attempt).Bool("silent", silent).Msg("dispatcher: run withdrawn")
 				c.Withdrawn = append(c.Withdrawn, carobrock.WithdrawnRun{Life: w.report.WorkerLife, Task: run.Task, Attempt: run.Attempt})
 			}
@@ -149,7 +163,7 @@
 	out := make([]*allocator.Worker, 0, len(d.workers))
 	for _, w := range d.workers {
 		r := w.report
-		if !d.mayStart(s, w) || w.waiting == nil && now.Sub(w.received) > silentAfter {
+		if w.losing || !d.mayStart(s, w) || w.waiting == nil && now.Sub(w.received) > silentAfter {
 			continue
 		}
 		v := &allocator.Worker{
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -17,8 +17,17 @@
 	leaseEnd time.Time
 	// listed holds the runs that report lists as running.
 	listed map[carobrock.Run]*carobrock.RunReport
+	// ended holds the runs that report lists as ended; their ends may still be
+	// on their way into the log.
+	ended map[carobrock.Run]bool
 	// offered holds the runs that the answer to report told the worker to start.
 	offered map[carobrock.Run]bool
+	// withdrawn holds the runs whose withdrawal is proposed: they are not started
+	// any more, whatever becomes of the proposal.
+	withdrawn map[carobrock.Run]bool
+	// losing is set while the loss of the worker's runs is proposed: it is told
+	// nothing until that is recorded.
+	losing bool
 	// waiting is not nil while the heartbeat waits for orders; closing it ends
 	// the wait.
 	waiting chan struct{}
@@ -52,7 +61,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
-		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, slowSince: map[carobrock.Run]time.Time{}, samples: map[carobrock.Run]*sample{},
+		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, withdrawn: map[carobrock.Run]bool{}, slowSince: map[carobrock.Run]time.Time{}, samples: map[carobrock.Run]*sample{},
 	}
 }
 
@@ -60,6 +69,10 @@
 func (w *worker) take(r *carobrock.WorkerReport, now time.Time) {
 	w.report, w.received = r, now
 	w.listed = make(map[carobrock.Run]*carobrock.RunReport, len(r.Running))
+	w.ended = make(map[carobrock.Run]bool, len(r.Ends))
+	for i := range r.Ends {
+		w.ended[carobrock.Run{Task: r.Ends[i].Task, Attempt: r.Ends[i].Attempt}] = true
+	}
 	clear(w.offered)
 	seen := make(map[carobrock.Run]progress, len(r.Running))
 	since := make(map[carobrock.Run]time.Time, len(r.Running))
@@ -96,6 +109,12 @@
 	}
 }
 
+// holds reports whether the worker may hold the run: it lists it, or was just
+// told to start it.
+func (w *worker) holds(run carobrock.Run) bool {
+	return w.listed[run] != nil || w.ended[run] || w.offered[run]
+}
+
 // release ends the wait of a heartbeat for orders.
 func (w *worker) release() {
 	if w.waiting != nil {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -23,16 +23,21 @@
 type group struct {
 	ledger *bookkeeper.Ledger
 
-	mu     sync.Mutex
-	index  uint64
-	term   uint64
-	leads  bool
-	fenced bool
+	mu    sync.Mutex
+	index uint64
+	term  uint64
+	leads bool
+	// slowness is added to the time of the next commit.
+	slowness time.Duration
 }
 
 func (g *group) Propose(ctx context.Context, command []byte) (any, error) {
+	g.mu.Lock()
+	wait := commitTime + g.slowness
+	g.slowness = 0
+	g.mu.Unlock()
 	select {
-	case <-time.After(commitTime):
+	case <-time.After(wait):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
