Pacing: overdue services distrust every filler beside them; steadier learning

Change: easing tails teach nothing, crowded ones less; a tail over target for 1.5 s raises every filler's assumed pressure to that of an unknown one.

--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -21,6 +21,11 @@
 	// easingRatio is the fall of a tail from one report to the next at which it
 	// counts as easing.
 	easingRatio = 0.93
+	// overdueAfter is how long a tail is above its target before the fillers
+	// beside it are all distrusted: a change of pace shows within a second.
+	overdueAfter = 1500 * time.Millisecond
+	// crowdedLoad is the load above which a tail lags behind.
+	crowdedLoad = 0.85
 	// sampleAge is how old the sample of a task may be to be compared with that
 	// of another of its job.
 	sampleAge = 400 * time.Millisecond
@@ -35,6 +40,8 @@
 	load   float64
 	easing bool
 	at     time.Time
+	// overSince is when the tail rose above the target, zero while it is below.
+	overSince time.Time
 	// raw is the load of the last report alone, shares what fillers used over
 	// its window; steady is set if that did not change meanwhile.
 	raw    float64
@@ -84,6 +91,11 @@
 	m.load = keep*m.load + (1-keep)*load
 	m.easing = tail < easingRatio*m.tail
 	m.tail, m.raw, m.at = tail, load, now
+	if tail <= float64(m.step.TailTargetMillis) {
+		m.overSince = time.Time{}
+	} else if m.overSince.IsZero() {
+		m.overSince = now
+	}
 }
 
 // remember and forget keep the samples of each job together.
@@ -113,16 +125,18 @@
 // learn compares a sample with the other tasks of its job, which share its load
 // but not what is beside them.
 func (d *Dispatcher) learn(job string, m *sample, now time.Time) {
-	if !m.steady || now.Sub(m.learned) < tailWindow {
+	if !m.steady || m.easing || now.Sub(m.learned) < tailWindow {
 		return
 	}
 	n, load, others := 0.0, 0.0, pacer.Shares{}
+	crowded := m.raw > crowdedLoad
 	for o := range d.peers[job] {
-		if o == m || o.worker == m.worker || !o.steady || now.Sub(o.at) > sampleAge || o.step != m.step {
+		if o == m || o.worker == m.worker || !o.steady || o.easing || now.Sub(o.at) > sampleAge || o.step != m.step {
 			continue
 		}
 		n++
 		load += o.raw
+		crowded = crowded || o.raw > crowdedLoad
 		for image, share := range o.shares {
 			others[image] += share
 		}
@@ -134,7 +148,7 @@
 		others[image] /= n
 	}
 	m.learned = now
-	d.model.Observe(m.step.Image, m.shares, others, m.raw-load/n)
+	d.model.Observe(m.step.Image, m.shares, others, m.raw-load/n, crowded)
 }
 
 // shares returns what the fillers on a worker used over the last tail window,
@@ -167,12 +181,13 @@
 }
 
 // services describes the service tasks on the worker that have a target.
-func (w *worker) services(rest *pacer.Rest) []pacer.Service {
+func (w *worker) services(rest *pacer.Rest, now time.Time) []pacer.Service {
 	var out []pacer.Service
 	for _, m := range w.samples {
 		target := float64(m.step.TailTargetMillis)
 		out = append(out, pacer.Service{
 			Image: m.step.Image, Load: m.load, Limit: rest.Load(m.step.Image, target, target), Easing: m.easing,
+			Overdue: !m.overSince.IsZero() && now.Sub(m.overSince) > overdueAfter,
 		})
 	}
 	return out
@@ -193,7 +208,7 @@
 		}
 	}
 	settled := now.Sub(w.pacedAt) >= paceSettle
-	for i, pace := range pacer.Decide(&d.model, w.services(&d.rest), fillers) {
+	for i, pace := range pacer.Decide(&d.model, w.services(&d.rest, now), fillers) {
 		before := fillers[i].Pace
 		if pace == before || !settled && fillers[i].Felt == 1 {
 			continue
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -172,7 +172,7 @@
 			Distrust: w.record.failureShare(now), Images: map[string]int{},
 		}
 		if l := s.Lives[r.WorkerLife]; l != nil {
-			v.Services = w.services(&d.rest)
+			v.Services = w.services(&d.rest, now)
 			d.count(v, w, l, now)
 		}
 		out = append(out, v)
--- a/internal/pacer/model.go
+++ b/internal/pacer/model.go
@@ -9,8 +9,10 @@
 	// priorSpread is the standard deviation of factors over pairs.
 	priorSpread = 1.0
 	// noise is the standard deviation of the difference of two reported loads
-	// about the model.
-	noise = 0.07
+	// about the model, crowdedNoise the one near full load, where a queue takes
+	// its time to build up.
+	noise        = 0.07
+	crowdedNoise = 0.25
 	// forgetting lets the past fade: an estimate rests on about the last 2000
 	// observations.
 	forgetting = 1.0 / 2000
@@ -47,8 +49,9 @@
 }
 
 // Observe takes the difference between the loads of two tasks of one service
-// and between the shares of the fillers beside them.
-func (m *Model) Observe(service string, shares, others Shares, difference float64) {
+// and between the shares of the fillers beside them. crowded is set if one of
+// the loads is near the limit.
+func (m *Model) Observe(service string, shares, others Shares, difference float64, crowded bool) {
 	if m.fillers == nil {
 		m.fillers, m.services = map[string]int{}, map[string]*estimate{}
 	}
@@ -63,7 +66,11 @@
 	x := make([]float64, len(e.mean))
 	m.add(x, shares, 1)
 	m.add(x, others, -1)
-	e.update(x, difference)
+	spread := noise
+	if crowded {
+		spread = crowdedNoise
+	}
+	e.update(x, difference, spread)
 }
 
 func (m *Model) learnNames(shares Shares) {
@@ -96,7 +103,7 @@
 }
 
 // update is one step of recursive least squares.
-func (e *estimate) update(x []float64, y float64) {
+func (e *estimate) update(x []float64, y, noise float64) {
 	n := len(x)
 	gain := make([]float64, n)
 	spread, guess := noise*noise, 0.0
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -13,6 +13,10 @@
 	// Easing is set while the tail falls: what queued up before is being worked
 	// off, and the load is lower than the tail tells.
 	Easing bool
+	// Overdue is set once the tail has been above the target for a while: what
+	// is known of the fillers beside it has not helped, so each of them is taken
+	// to press at least as much as an unknown one.
+	Overdue bool
 }
 
 // Filler is filling work on a VM.
@@ -114,7 +118,11 @@
 	for s := range services {
 		out[s] = make([]float64, len(fillers))
 		for f := range fillers {
-			out[s][f] = m.Pressure(services[s].Image, fillers[f].Image) * fillers[f].Share
+			p := m.Pressure(services[s].Image, fillers[f].Image)
+			if services[s].Overdue {
+				p = math.Max(p, priorPressure)
+			}
+			out[s][f] = p * fillers[f].Share
 		}
 	}
 	return out
