Placement by risk above the limit; services packed by image; unknown pairs tried

Change: softplus risk; effects down to 0.005; pressure estimates never negative; hope = estimate less half a standard deviation; services best-fit beside their own image.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -178,7 +178,7 @@
 	crowdWeight = 2.0
 	// imageWeight prefers service tasks of one image together: what presses on
 	// one image then presses on few workers.
-	imageWeight = 0.6
+	imageWeight = 4.0
 )
 
 // score returns how well a worker suits a task of r; higher is better.
@@ -193,7 +193,7 @@
 		}
 		s -= riskWeight * a.risk(r.Step, w)
 	case r.Step.Service:
-		s += float64(w.Free.MilliCPU)/whole + imageWeight*sameImage(r.Step.Image, w)
+		s += 1 - float64(w.Free.MilliCPU)/whole + imageWeight*sameImage(r.Step.Image, w)
 	default:
 		s += float64(w.Free.MilliCPU)/whole + 0.5*float64(w.SpareMilliCPU)/whole
 	}
--- a/internal/pacer/model.go
+++ b/internal/pacer/model.go
@@ -13,6 +13,9 @@
 	// its time to build up.
 	noise        = 0.07
 	crowdedNoise = 0.25
+	// hopeSpreads is how many standard deviations below its estimate a pressure
+	// is hoped to be.
+	hopeSpreads = 0.5
 	// forgetting lets the past fade: an estimate rests on about the last 2000
 	// observations.
 	forgetting = 1.0 / 2000
@@ -45,7 +48,19 @@
 	if e == nil || i == 0 || i > len(e.mean) {
 		return priorPressure
 	}
-	return math.Max(0, e.mean[i-1])
+	return e.mean[i-1]
+}
+
+// Hope returns an optimistic estimate of Pressure: a pair of which little is
+// known is tried rather than avoided for ever, as the upper confidence bound
+// rule of Lai and Robbins (1985) has it.
+func (m *Model) Hope(service, filler string) float64 {
+	e := m.services[service]
+	i := m.fillers[filler]
+	if e == nil || i == 0 || i > len(e.mean) {
+		return math.Max(0, priorPressure-hopeSpreads*priorSpread)
+	}
+	return math.Max(0, e.mean[i-1]-hopeSpreads*math.Sqrt(e.cov[i-1][i-1]))
 }
 
 // Observe takes the difference between the loads of two tasks of one service
@@ -118,7 +133,8 @@
 	}
 	miss := y - guess
 	for i := range n {
-		e.mean[i] += gain[i] / spread * miss
+		// No filler speeds a service up.
+		e.mean[i] = math.Max(0, e.mean[i]+gain[i]/spread*miss)
 		for j := range n {
 			e.cov[i][j] = (e.cov[i][j] - gain[i]*gain[j]/spread) * (1 + forgetting)
 		}
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -41,8 +41,8 @@
 	// paces from swinging with the noise of the tails.
 	raiseMargin = 0.1
 	// minEffect is the least growth of the load for which a filler is slowed at
-	// all.
-	minEffect = 0.01
+	// all: many light fillers press as much as a heavy one.
+	minEffect = 0.005
 	// paceStep rounds paces, in percent.
 	paceStep = 5
 	// maxRaise bounds how much a pace grows at a time, in percent.
@@ -151,23 +151,27 @@
 	return at
 }
 
-// Risk returns the expected number of service tasks that a new filler would
-// bring above their targets. The logistic curve stands for the noise of the
-// loads and for their changes while the filler runs.
+// Risk returns how much a new filler presses on services without room for it, in
+// units of about one service task brought above its target: next to nothing far
+// below the limits, and in proportion to the pressure above them. The soft step
+// between the two stands for the noise of the loads and for their changes while
+// the filler runs.
 func Risk(m *Model, services []Service, filler Filler) float64 {
 	sum := 0.0
 	for i := range services {
 		s := &services[i]
-		over := s.Load - s.Limit
-		sum += chance(over+m.Pressure(s.Image, filler.Image)*filler.Share) - chance(over)
+		over := s.Load - s.Limit + lowerMargin
+		sum += softStep(over+m.Hope(s.Image, filler.Image)*filler.Share) - softStep(over)
 	}
 	return sum
 }
 
-// riskWidth is the width of the logistic curve in load: about the change of a
+// riskWidth is the width of the soft step in load: about the change of a
 // service's load within the run time of a filler.
 const riskWidth = 0.07
 
-func chance(over float64) float64 {
-	return 1 / (1 + math.Exp(-(over+lowerMargin)/riskWidth))
+// softStep is the softplus function: zero far below zero, x / riskWidth far
+// above it.
+func softStep(x float64) float64 {
+	return math.Log1p(math.Exp(x / riskWidth))
 }
