Bounded turns of the placement loop

Change: a request scores each worker once; a filler like one that was refused is not looked at again; old waiting fillers and moves only ten times a second; 4 ms between turns.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"math"
 	"slices"
 
 	"github.com/carobrock/carobrock"
@@ -18,35 +19,80 @@
 // assigned.
 func (a *Allocator) Place(requests []Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
+	refused := map[string]*Request{}
 	for i := range requests {
 		if len(out) >= limit {
 			break
 		}
+		if isRefused(refused, &requests[i]) {
+			continue
+		}
 		if requests[i].Step.Gang {
 			out = append(out, a.placeGang(&requests[i], workers)...)
 			continue
 		}
-		out = append(out, a.placeEach(&requests[i], workers, limit-len(out))...)
+		placed := a.placeEach(&requests[i], workers, limit-len(out))
+		if len(placed) < len(requests[i].Indices) && requests[i].Step.Filler {
+			refused[requests[i].Step.Image] = &requests[i]
+		}
+		out = append(out, placed...)
 	}
 	return out
 }
 
-// placeEach places the tasks of a request one by one.
+// isRefused reports whether a filler like that of r, and none harder to place,
+// found no worker in this turn, so that r finds none either.
+func isRefused(refused map[string]*Request, r *Request) bool {
+	other := refused[r.Step.Image]
+	return r.Step.Filler && other != nil && other.Pool == r.Pool && r.MaxRisk <= other.MaxRisk &&
+		other.Step.Size.Fits(r.Step.Size) && other.Step.Label == "" && other.Step.MaxPerWorker == 0 && !other.NeedsTicket
+}
+
+// placeEach places the tasks of a request one by one. A worker's score changes
+// only when it gets a task.
 func (a *Allocator) placeEach(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
+	scores := make([]float64, len(workers))
+	for i, w := range workers {
+		scores[i] = a.scoreIfFits(r, w)
+	}
 	for i := range r.Indices {
 		if len(out) >= limit {
 			break
 		}
-		w := a.best(r, workers, "")
-		if w == nil {
+		top := highest(scores)
+		if top < 0 {
 			break
 		}
-		out = append(out, a.take(r, i, w))
+		out = append(out, a.take(r, i, workers[top]))
+		scores[top] = a.scoreIfFits(r, workers[top])
 	}
 	return out
 }
 
+// unfit is the score of a worker that must not get a task.
+var unfit = math.Inf(-1)
+
+// scoreIfFits returns the score of a worker, unfit if it must not get a task of
+// r.
+func (a *Allocator) scoreIfFits(r *Request, w *Worker) float64 {
+	if !Fits(r, w) || r.Step.Filler && a.risk(r.Step, w) > r.MaxRisk {
+		return unfit
+	}
+	return a.score(r, w)
+}
+
+// highest returns the index of the highest score, -1 if all are unfit.
+func highest(scores []float64) int {
+	at := -1
+	for i, s := range scores {
+		if s > unfit && (at < 0 || s > scores[at]) {
+			at = i
+		}
+	}
+	return at
+}
+
 // placeGang places all tasks of a request or none.
 func (a *Allocator) placeGang(r *Request, workers []*Worker) []carobrock.TaskAssignment {
 	if r.Step.SameRack {
@@ -142,22 +188,20 @@
 	}
 }
 
-// best returns the worker with the highest score that fits, nil if none does.
+// best returns the worker with the highest score that fits, on one rack or on
+// any if rack is empty, nil if none does.
 func (a *Allocator) best(r *Request, workers []*Worker, rack string) *Worker {
-	var top *Worker
-	var topScore float64
-	for _, w := range workers {
-		if rack != "" && w.Rack != rack || !Fits(r, w) {
-			continue
-		}
-		if r.Step.Filler && a.risk(r.Step, w) > r.MaxRisk {
-			continue
-		}
-		if s := a.score(r, w); top == nil || s > topScore {
-			top, topScore = w, s
+	scores := make([]float64, len(workers))
+	for i, w := range workers {
+		scores[i] = unfit
+		if rack == "" || w.Rack == rack {
+			scores[i] = a.scoreIfFits(r, w)
 		}
 	}
-	return top
+	if top := highest(scores); top >= 0 {
+		return workers[top]
+	}
+	return nil
 }
 
 // Weights of the score, in shares of a worker's processors.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -80,6 +80,8 @@
 	changed chan struct{}      // closed when the configuration may have changed
 	model   pacer.Model        // of the interference between images
 	rest    pacer.Rest         // latencies of services at rest
+	// fullTurn is when a turn last looked at everything that waits.
+	fullTurn time.Time
 	// peers holds the samples of the service tasks of each job.
 	peers map[string]map[*sample]bool
 }
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -17,8 +17,10 @@
 	slowTime = time.Second
 	// moveRisk bounds the risk for services at the new place.
 	moveRisk = 0.05
-	// maxMoves bounds the fillers that are moved in one turn.
+	// maxMoves bounds the fillers that are moved at a time, maxTries those that
+	// are looked at: each look goes over all workers.
 	maxMoves = 8
+	maxTries = 16
 	// lostPercent is how far a filler that saves nothing may be to be moved.
 	lostPercent = 15
 )
@@ -26,7 +28,7 @@
 // moveSlowed stops fillers that hardly go on, where another worker has room for
 // them. They resume there from the checkpoint that the stop makes.
 func (d *Dispatcher) moveSlowed(s *bookkeeper.State, view []*allocator.Worker, now time.Time) {
-	moves := 0
+	moves, tries := 0, 0
 	for name, w := range d.workers {
 		l := s.Lives[w.report.WorkerLife]
 		if l == nil || now.Sub(w.pacedAt) > 10*slowTime && len(w.paces) == 0 {
@@ -34,7 +36,7 @@
 		}
 		for run, pace := range w.paces {
 			step := l.Runs[run]
-			if moves >= maxMoves || step == nil || pace > slowPace || now.Sub(w.slowSince[run]) < slowTime || w.unwanted[run] != "" {
+			if moves >= maxMoves || tries >= maxTries || step == nil || pace > slowPace || now.Sub(w.slowSince[run]) < slowTime || w.unwanted[run] != "" {
 				continue
 			}
 			if !step.Checkpoints && w.progress[run].percent > lostPercent || !s.IsActive(w.report.WorkerLife, run) {
@@ -45,6 +47,7 @@
 				Job: run.Task.Job, Step: step, Pool: j.Queue.Pool, MaxRisk: moveRisk,
 				Avoid: map[carobrock.WorkerLife]bool{w.report.WorkerLife: true},
 			}
+			tries++
 			to := d.allocator.FindBetter(r, view)
 			if to == nil {
 				continue
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -8,12 +8,16 @@
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
 const (
 	// turnInterval is the longest time between turns: lost workers, repetitions
 	// and waiting tasks are looked at this often when nothing happens.
 	turnInterval = 100 * time.Millisecond
+	// turnPause is the least time between turns, in which more work gathers: a
+	// fraction of a commit.
+	turnPause = 4 * time.Millisecond
 	// maxAssignments bounds one turn, so that a burst does not hold up the
 	// heartbeats.
 	maxAssignments = 300
@@ -36,7 +40,7 @@
 		case <-d.kick:
 		case <-ticker.C:
 		}
-		if d.lead() != nil {
+		if sleeper.Sleep(ctx, turnPause) != nil || d.lead() != nil {
 			continue
 		}
 		c := d.plan(time.Now())
@@ -86,10 +90,14 @@
 		d.findWithdrawn(s, now, c)
 		d.releaseStops(s)
 		view := d.view(s, now)
-		if requests := d.requests(s); len(requests) > 0 {
+		full := now.Sub(d.fullTurn) >= turnInterval
+		if requests := d.requests(s, full); len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, view, maxAssignments)
 		}
-		d.moveSlowed(s, view, now)
+		if full {
+			d.fullTurn = now
+			d.moveSlowed(s, view, now)
+		}
 	})
 	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 {
 		return nil
@@ -216,7 +224,9 @@
 }
 
 // requests returns the waiting tasks whose turn has come, most urgent first.
-func (d *Dispatcher) requests(s *bookkeeper.State) []allocator.Request {
+// Fillers that have waited for a harmless place are left out unless full is
+// set: they are many, and the services' loads change slowly.
+func (d *Dispatcher) requests(s *bookkeeper.State, full bool) []allocator.Request {
 	var out []allocator.Request
 	at := d.Now().Add(d.Settings.StartEarly).UnixMilli()
 	ranks := map[*carobrock.Step]int{}
@@ -230,7 +240,11 @@
 			}
 			for i := range j.Spec.Steps {
 				if r, ok := request(j, o, k, i); ok {
-					r.MaxRisk = patience(at - j.SubmittedUnixMillis)
+					age := at - j.SubmittedUnixMillis
+					if r.Step.Filler && !full && age > freshMillis {
+						continue
+					}
+					r.MaxRisk = patience(age)
 					ranks[r.Step] = rank(j, r.Step)
 					out = append(out, r)
 				}
@@ -247,11 +261,14 @@
 	// good place is not put off for ever, and the pacer watches over it.
 	firstRisk     = 0.1
 	riskPerSecond = 0.03
+	// freshMillis is the age up to which a job's fillers are placed in every turn.
+	freshMillis = 500
 )
 
 // patience returns the risk that a filler of a job of an age may bring.
 func patience(ageMillis int64) float64 {
-	return firstRisk + riskPerSecond*float64(max(0, ageMillis))/1000
+	seconds := max(0, ageMillis) / 1000
+	return firstRisk + riskPerSecond*float64(seconds)
 }
 
 // rank orders steps: service tasks first, then by the queue's priority.
