Leases count suspended time; stalled runs and leaving workers' runs move on

Cause: a suspended machine's steady clock stands still, so a leader that wakes would trust a lease that has passed; tasks on hanging workers were waited for; a leaving worker took its services and unsaved work down with it.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -61,12 +61,10 @@
 
 func (n *node) open() error {
 	s := n.settings
-	ready := func() bool { return true }
 	if s.ServesCallers {
 		n.gateway = launcher.NewJobGateway(s, n.log)
-		ready = n.gateway.Jobs.IsReady
 		n.add("callers", s.CallerAddress, &platform.Callers{Jobs: n.gateway.Jobs, Logger: n.log})
-		n.add("readiness", s.ReadyAddress, &platform.Ready{IsReady: ready})
+		n.add("readiness", s.ReadyAddress, &platform.Ready{IsReady: n.gateway.Jobs.IsReady})
 	}
 	if s.ServesControl {
 		var err error
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -217,3 +217,45 @@
 		}
 	})
 }
+
+func TestStalledRunIsMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		a := w.vm("a", 4)
+		w.must(a.beat())
+		w.submit("job", cores(1))
+		a.beatFor(300 * time.Millisecond)
+		a.stuck = true
+		b := w.vm("b", 4)
+		for range 60 {
+			w.must(a.beat())
+			w.must(b.beat())
+			if len(b.runs()) > 0 {
+				return
+			}
+		}
+		t.Errorf("the run stands still on %v and was not moved", a.runs())
+	})
+}
+
+func TestLeavingWorkerHandsItsServicesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		a := w.vm("a", 4)
+		w.must(a.beat())
+		step := cores(2)
+		step.Service = true
+		w.submit("job", step)
+		a.beatFor(300 * time.Millisecond)
+		b := w.vm("b", 4)
+		a.report.Leaving = true
+		w.must(a.beat())
+		w.must(a.beat())
+		b.beatFor(300 * time.Millisecond)
+		if diff := cmp.Diff([]string{"job.0#2", "job.1#2"}, b.runs(), sorted); diff != "" {
+			t.Errorf("runs (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -77,6 +77,9 @@
 	d.Ledger.View(func(s *bookkeeper.State) {
 		d.measure(s, w, now)
 		d.repace(s, w, now)
+		if l := s.Lives[r.WorkerLife]; l != nil {
+			w.judgeRuns(l.Runs, now)
+		}
 	})
 	return w, true
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// stallTime is how long a run may stand still at full pace. A task that gets a
+// tenth of its processors still advances by a percent in less.
+const stallTime = 2500 * time.Millisecond
+
+// judgeRuns marks the runs that are to end here: those that stand still, and on
+// a leaving worker those that resume elsewhere from a checkpoint or are to be
+// restarted anyway. The caller holds the dispatcher's lock.
+func (w *worker) judgeRuns(steps map[carobrock.Run]*carobrock.Step, now time.Time) {
+	for run, x := range w.listed {
+		step := steps[run]
+		if step == nil || w.unwanted[run] != "" {
+			continue
+		}
+		pace, slowed := w.paces[run]
+		switch {
+		case w.report.Leaving && (step.Checkpoints || step.Service):
+			w.unwanted[run] = "leaving"
+		case step.Gang || x.Percent >= 100 || slowed && pace < 50:
+		case now.Sub(w.progress[run].at) > stallTime && now.Sub(w.pacedAt) > stallTime:
+			w.unwanted[run] = "stalled"
+			w.record.add(now, 1, 0)
+		}
+	}
+}
+
 // holds reports whether the worker may hold the run: it lists it, or was just
 // told to start it.
 func (w *worker) holds(run carobrock.Run) bool {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -126,6 +126,8 @@
 	report carobrock.WorkerReport
 	ends   uint64
 	orders *carobrock.WorkerOrders
+	// stuck keeps its runs from advancing.
+	stuck bool
 }
 
 func (w *world) vm(name string, cores int64) *vm {
@@ -142,6 +144,11 @@
 // the call.
 func (v *vm) beat() error {
 	v.report.Sequence++
+	for i := range v.report.Running {
+		if !v.stuck {
+			v.report.Running[i].Percent = (v.report.Running[i].Percent + 1) % 100
+		}
+	}
 	r := v.report
 	r.Running = append([]carobrock.RunReport(nil), v.report.Running...)
 	r.Ends = append([]carobrock.RunEnd(nil), v.report.Ends...)
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
+	"golang.org/x/sys/unix"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
@@ -104,6 +105,15 @@
 	return s.LeaderAddress
 }
 
+// uptime reads the clock that goes on while the machine is suspended.
+func uptime() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic(err) // every Linux kernel in use has this clock
+	}
+	return time.Duration(ts.Nano())
+}
+
 // NewJobReplica opens the data folder and the peer listener. It fails with
 // ErrSettings.
 func NewJobReplica(s *NodeSettings, logger zerolog.Logger) (*JobReplica, error) {
@@ -116,7 +126,7 @@
 	ms := &messenger.Messenger{Listener: peers, Logger: logger}
 	replica := &replicator.Replica{
 		Name: s.Name, Address: s.PeerAddress, Initial: s.initial(), Machine: ledger, Link: ms, Logger: logger,
-		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery,
+		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery, Uptime: uptime,
 		Journal: &journaler.Journal{
 			Folder: &journaler.DiskFolder{Path: s.DataDir}, Name: s.Name,
 			NewIncarnation: func() uint64 { return rand.Uint64() | 1 },
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -114,6 +114,8 @@
 	initial []*encoder.Member
 	// incarnation is what a new folder draws; zero: random.
 	incarnation uint64
+	// uptime is the replica's clock that counts suspension; nil: none.
+	uptime func() time.Duration
 
 	replica *replicator.Replica
 	keeper  *keeper.Keeper
@@ -171,7 +173,7 @@
 	r := &replicator.Replica{
 		Name: nd.name, Address: nd.address, Initial: nd.initial, Machine: k, Link: (*link)(nd),
 		Journal:         &journaler.Journal{Folder: nd.folder, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }},
-		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Logger: zerolog.Nop(),
+		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Uptime: nd.uptime, Logger: zerolog.Nop(),
 	}
 	if err := r.Prepare(); err != nil {
 		nd.c.t.Errorf("replica %s does not start: %v", nd.name, err)
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -119,18 +119,18 @@
 	c.peers = map[uint64]*progress{}
 	c.roundSent = map[uint64]time.Time{}
 	c.leadSince = now
-	c.syncPeers()
+	c.syncPeers(now)
 	c.termStart = c.propose(encoder.EntryKind_ENTRY_KIND_NO_OP, [][]byte{nil})
 	c.broadcast(now)
 }
 
 // syncPeers makes the known progress match the membership.
-func (c *core) syncPeers() {
+func (c *core) syncPeers(now time.Time) {
 	for _, m := range c.members.GetMembers() {
 		if m.GetId() == c.self.GetId() || c.peers[m.GetId()] != nil {
 			continue
 		}
-		c.peers[m.GetId()] = &progress{next: c.log.last() + 1, heardAt: time.Now()}
+		c.peers[m.GetId()] = &progress{next: c.log.last() + 1, heardAt: now}
 	}
 	for id := range c.peers {
 		if findMember(c.members, id) == nil {
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -16,7 +16,7 @@
 	r.watch.advance(r.applied)
 	ticker := time.NewTicker(r.HeartbeatInterval / 2)
 	defer ticker.Stop()
-	r.core.tick(time.Now())
+	r.core.tick(r.now())
 	for {
 		if err := r.settle(); err != nil {
 			return err
@@ -26,7 +26,7 @@
 			return nil
 		case <-ticker.C:
 		case m := <-r.inbox:
-			r.core.step(time.Now(), m)
+			r.core.step(r.now(), m)
 		case p := <-r.proposals:
 			r.takeProposals(p)
 		case q := <-r.confirms:
@@ -35,7 +35,7 @@
 			r.takeRequest(change)
 		}
 		r.drainInbox()
-		r.core.tick(time.Now())
+		r.core.tick(r.now())
 	}
 }
 
@@ -51,7 +51,7 @@
 	for range maxBatch {
 		select {
 		case m := <-r.inbox:
-			r.core.step(time.Now(), m)
+			r.core.step(r.now(), m)
 		default:
 			return
 		}
@@ -103,7 +103,7 @@
 		failConfirms(batch)
 		return
 	}
-	r.core.broadcast(time.Now())
+	r.core.broadcast(r.now())
 	for _, q := range batch {
 		q.round = r.core.round
 	}
@@ -120,7 +120,7 @@
 // durable first, then the messages that promise it, then the state machine.
 func (r *Replica) settle() error {
 	c := r.core
-	c.flush(time.Now())
+	c.flush(r.now())
 	r.sendAll(c.early)
 	c.early = nil
 	if err := r.persist(); err != nil {
@@ -295,7 +295,7 @@
 		ms := carobrock.MemberStatus{ID: m.GetId(), Name: m.GetName(), Address: m.GetAddress(), Voter: m.GetVoter()}
 		if c.role() == roleLeader {
 			ms.Match = c.matchOf(m.GetId())
-			ms.SilentMillis = c.silence(m.GetId()).Milliseconds()
+			ms.SilentMillis = c.silence(r.now(), m.GetId()).Milliseconds()
 		}
 		if m.GetId() == c.leader {
 			s.LeaderAddress = m.GetAddress()
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -230,7 +230,7 @@
 		return
 	}
 	index := c.propose(encoder.EntryKind_ENTRY_KIND_MEMBERS, [][]byte{data})
-	c.syncPeers()
+	c.syncPeers(r.now())
 	r.waiters[index] = &proposal{term: c.term, done: change.done}
 }
 
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -69,6 +69,9 @@
 	// TrailingEntries stay in memory behind a snapshot for members that lag.
 	// Zero: 2000.
 	TrailingEntries uint64
+	// Uptime returns the time since the machine started, counting the time that
+	// it was suspended, which time.Now does not. Nil: suspension is not seen.
+	Uptime func() time.Duration
 	// Rand spreads the election timeouts. Nil: seeded at random.
 	Rand *rand.Rand
 	// Logger takes the log.
@@ -82,6 +85,9 @@
 	status    atomic.Pointer[carobrock.ReplicaStatus]
 	leaseEnd  atomic.Pointer[time.Time]
 
+	began       time.Time // when Uptime was beganUptime
+	beganUptime time.Duration
+
 	core        *core
 	applied     uint64
 	appliedTerm uint64
@@ -121,6 +127,9 @@
 // with the journal's error, and then Run must not be called.
 func (r *Replica) Prepare() error {
 	r.setDefaults()
+	if r.Uptime != nil {
+		r.began, r.beganUptime = time.Now(), r.Uptime()
+	}
 	state, err := r.Journal.Open()
 	if err != nil {
 		return err
@@ -149,9 +158,9 @@
 	if !c.isFresh() {
 		// This replica may have supported a leader's lease just before it
 		// stopped, so it votes for nobody until such a lease has passed.
-		c.heardLeader = time.Now()
+		c.heardLeader = r.now()
 	}
-	c.reset(time.Now())
+	c.reset(r.now())
 	r.core = c
 	r.publish()
 	return nil
@@ -238,6 +247,15 @@
 	}
 }
 
+// now returns the time on a clock that counts the time in which the machine was
+// suspended, if Uptime is set.
+func (r *Replica) now() time.Time {
+	if r.Uptime == nil {
+		return time.Now()
+	}
+	return r.began.Add(r.Uptime() - r.beganUptime)
+}
+
 // LeaseLeft returns how long it is certain that no other replica leads, zero if
 // it is not certain at all. It reads the clock, so a process that was frozen
 // sees that its lease has passed.
@@ -246,7 +264,7 @@
 	if end == nil {
 		return 0
 	}
-	return max(0, time.Until(*end))
+	return max(0, end.Sub(r.now()))
 }
 
 // Status implements carobrock.Replica.
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -284,9 +284,9 @@
 }
 
 // silence returns how long ago the leader last heard from a member.
-func (c *core) silence(id uint64) time.Duration {
+func (c *core) silence(now time.Time, id uint64) time.Duration {
 	if p := c.peers[id]; p != nil {
-		return time.Since(p.heardAt)
+		return now.Sub(p.heardAt)
 	}
 	return 0
 }
