Overdue services stop every filler beside them; work that can be in time goes first

Change: an overdue service stops all of them and takes no new ones; steps are ordered by what their job can still earn, then by slack.

--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -229,7 +230,7 @@
 func (d *Dispatcher) requests(s *bookkeeper.State, full bool) []allocator.Request {
 	var out []allocator.Request
 	at := d.Now().Add(d.Settings.StartEarly).UnixMilli()
-	ranks := map[*carobrock.Step]int{}
+	order := map[*carobrock.Step]urgency{}
 	for _, j := range s.Open {
 		if j.Queue.Pool == "" {
 			continue
@@ -244,41 +245,92 @@
 					if r.Step.Filler && !full && age > freshMillis {
 						continue
 					}
-					r.MaxRisk = patience(age)
-					ranks[r.Step] = rank(j, r.Step)
+					u, earns := urgencyOf(j, o, k, i, at)
+					r.MaxRisk = firstRisk[earns] + riskPerSecond*float64(age/1000)
+					order[r.Step] = u
 					out = append(out, r)
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(out, func(a, b allocator.Request) int { return ranks[a.Step] - ranks[b.Step] })
+	slices.SortStableFunc(out, func(a, b allocator.Request) int {
+		x, y := order[a.Step], order[b.Step]
+		return cmp.Or(cmp.Compare(x.class, y.class), cmp.Compare(x.slackMillis, y.slackMillis))
+	})
 	return out
 }
 
+// urgency orders the waiting tasks: lower comes first.
+type urgency struct {
+	// class is -1 for services, else it follows the queue's priority and what a
+	// job can still earn.
+	class int
+	// slackMillis is how much later the job could go on and still be in time.
+	slackMillis int64
+}
+
+// What a job can still earn.
 const (
-	// firstRisk is the risk for services at which a fresh filler is placed,
-	// riskPerSecond by how much it grows while its job waits: work that finds no
-	// good place is not put off for ever, and the pacer watches over it.
-	firstRisk     = 0.1
-	riskPerSecond = 0.03
-	// freshMillis is the age up to which a job's fillers are placed in every turn.
-	freshMillis = 500
+	inTime = iota
+	late
+	expired
+	earnings // how many there are
 )
 
-// patience returns the risk that a filler of a job of an age may bring.
-func patience(ageMillis int64) float64 {
-	seconds := max(0, ageMillis) / 1000
-	return firstRisk + riskPerSecond*float64(seconds)
+// lateFactor is how many times its objective a job may take and still earn a
+// little.
+const lateFactor = 3
+
+// urgencyOf returns the urgency of a step of an occurrence at a time, and what
+// the job can still earn. Work that can still be in time goes before work that
+// is late anyway, as in Buttazzo et al., "Value vs. deadline scheduling in
+// overload conditions" (1995).
+func urgencyOf(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int, atMillis int64) (urgency, int) {
+	if j.Spec.Steps[i].Service {
+		return urgency{class: -1}, inTime
+	}
+	begin := max(j.SubmittedUnixMillis, j.Spec.DueUnixMillis(k))
+	objective := int64(j.Queue.Stretch*float64(chainMillis(j, nil))) + j.Queue.TargetMillis
+	done := atMillis + chainMillis(j, o) - begin
+	earns := expired
+	switch {
+	case done <= objective:
+		earns = inTime
+	case done <= lateFactor*objective:
+		earns = late
+	}
+	return urgency{class: j.Queue.Priority*earnings + earns, slackMillis: objective - done}, earns
 }
 
-// rank orders steps: service tasks first, then by the queue's priority.
-func rank(j *bookkeeper.Job, step *carobrock.Step) int {
-	if step.Service {
-		return -1
+// chainMillis returns the longest chain of estimated work among the steps that
+// are not done.
+func chainMillis(j *bookkeeper.Job, o *bookkeeper.Occurrence) int64 {
+	longest := int64(0)
+	ends := make([]int64, len(j.Spec.Steps))
+	for i := range j.Spec.Steps {
+		step := &j.Spec.Steps[i]
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if o == nil || o.Steps[i].Done < len(o.Steps[i].Tasks) {
+			ends[i] += step.EstimateMillis
+		}
+		longest = max(longest, ends[i])
 	}
-	return j.Queue.Priority
+	return longest
 }
 
+// The risk for services at which a filler is placed, by what its job can still
+// earn, and by how much it grows while the job waits: work that finds no good
+// place is not put off for ever, and the pacer watches over it.
+var (
+	firstRisk     = [earnings]float64{inTime: 0.15, late: 0.1, expired: 0.05}
+	riskPerSecond = 0.005
+)
+
+// freshMillis is the age up to which a job's fillers are placed in every turn.
+const freshMillis = 500
+
 // request returns the waiting tasks of a step, false if there are none or their
 // turn has not come.
 func request(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int) (allocator.Request, bool) {
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -14,8 +14,8 @@
 	// off, and the load is lower than the tail tells.
 	Easing bool
 	// Overdue is set once the tail has been above the target for a while: what
-	// is known of the fillers beside it has not helped, so each of them is taken
-	// to press at least as much as an unknown one.
+	// is known of the fillers beside it has not helped, so all of them are
+	// stopped until it is below.
 	Overdue bool
 }
 
@@ -80,6 +80,9 @@
 		if services[s].Easing {
 			excess[s] = min(excess[s], 0)
 		}
+		if services[s].Overdue {
+			excess[s] = math.Inf(1)
+		}
 		for f := range fillers {
 			excess[s] += effect[s][f] * (1 - fillers[f].Felt*float64(fillers[f].Pace)/100)
 		}
@@ -98,7 +101,7 @@
 			excess[s] = 0 // nothing beside it helps
 			continue
 		}
-		cut := math.Min(pace[f], excess[s]/effect[s][f])
+		cut := math.Min(pace[f], excess[s]/effect[s][f]) // all of it where the excess is infinite
 		pace[f] -= cut
 		for k := range services {
 			excess[k] -= effect[k][f] * cut
@@ -160,6 +163,9 @@
 	sum := 0.0
 	for i := range services {
 		s := &services[i]
+		if s.Overdue {
+			return math.Inf(1)
+		}
 		over := s.Load - s.Limit + lowerMargin
 		sum += softStep(over+m.Hope(s.Image, filler.Image)*filler.Share) - softStep(over)
 	}
