--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -13,6 +13,10 @@
 	// tailWindow is the time over which a worker measures a tail: the platform
 	// reports the last half second.
 	tailWindow = 500 * time.Millisecond
+	// shareHalfLife averages the shares of fillers over about that window;
+	// minShare is where an average counts as zero.
+	shareHalfLife = 200 * time.Millisecond
+	minShare      = 0.001
 	// loadHalfLife smooths the loads, as tails are rough figures.
 	loadHalfLife = 150 * time.Millisecond
 	// paceSettle is how long after a change of pace the tails still contain the
@@ -43,10 +47,9 @@
 	// overSince is when the tail rose above the target, zero while it is below.
 	overSince time.Time
 	// raw is the load of the last report alone, shares what fillers used over
-	// its window; steady is set if that did not change meanwhile.
+	// its window.
 	raw    float64
 	shares pacer.Shares
-	steady bool
 	// learned is when the sample was last given to the model.
 	learned time.Time
 }
@@ -63,7 +66,7 @@
 			d.forget(w, run)
 		}
 	}
-	shares, steady := w.shares(l, now)
+	shares := w.average(l, now)
 	for i := range w.report.Running {
 		x := &w.report.Running[i]
 		step := l.Runs[x.Run]
@@ -80,7 +83,7 @@
 			d.rest.Observe(step.Image, float64(x.TailMillis))
 		}
 		m.take(d.rest.Load(step.Image, float64(step.TailTargetMillis), float64(x.TailMillis)), float64(x.TailMillis), now)
-		m.shares, m.steady = shares, steady
+		m.shares = shares
 		d.learn(x.Task.Job, m, now)
 	}
 }
@@ -125,13 +128,13 @@
 // learn compares a sample with the other tasks of its job, which share its load
 // but not what is beside them.
 func (d *Dispatcher) learn(job string, m *sample, now time.Time) {
-	if !m.steady || m.easing || now.Sub(m.learned) < tailWindow {
+	if m.easing || now.Sub(m.learned) < tailWindow {
 		return
 	}
 	n, load, others := 0.0, 0.0, pacer.Shares{}
 	crowded := m.raw > crowdedLoad
 	for o := range d.peers[job] {
-		if o == m || o.worker == m.worker || !o.steady || o.easing || now.Sub(o.at) > sampleAge || o.step != m.step {
+		if o == m || o.worker == m.worker || o.easing || now.Sub(o.at) > sampleAge || o.step != m.step {
 			continue
 		}
 		n++
@@ -151,21 +154,28 @@
 	d.model.Observe(m.step.Image, m.shares, others, m.raw-load/n, crowded)
 }
 
-// shares returns what the fillers on a worker used over the last tail window,
-// and whether that was steady.
-func (w *worker) shares(l *bookkeeper.Life, now time.Time) (pacer.Shares, bool) {
-	out := pacer.Shares{}
-	steady := now.Sub(w.pacedAt) >= paceSettle && now.Sub(w.runEnded) >= paceSettle
+// average brings the mean of the fillers' shares up to date, over about the
+// window in which a worker measures a tail, and returns it.
+func (w *worker) average(l *bookkeeper.Life, now time.Time) pacer.Shares {
+	keep := halve(now.Sub(w.averagedAt), shareHalfLife)
+	mean := pacer.Shares{}
+	for image, share := range w.meanShares {
+		if keep*share > minShare {
+			mean[image] = keep * share
+		}
+	}
+	for image, share := range w.presentShares {
+		mean[image] += (1 - keep) * share
+	}
+	present := pacer.Shares{}
 	for run := range w.listed {
-		step := l.Runs[run]
-		if step == nil || !step.Filler {
-			continue
+		if step := l.Runs[run]; step != nil && step.Filler {
+			f := w.filler(run, step, now)
+			present[step.Image] += f.Share * float64(f.Pace) / 100
 		}
-		f := w.filler(run, step, now)
-		steady = steady && f.Felt == 1
-		out[step.Image] += f.Share * f.Felt * float64(f.Pace) / 100
 	}
-	return out, steady
+	w.meanShares, w.presentShares, w.averagedAt = mean, present, now
+	return mean
 }
 
 // filler describes a filler on the worker.
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/pacer"
 )
 
 // worker is what the leader knows of one worker life from its heartbeats.
@@ -48,8 +49,11 @@
 	// each run was first listed.
 	samples map[carobrock.Run]*sample
 	since   map[carobrock.Run]time.Time
-	// runEnded is when a run that had been listed was listed no more.
-	runEnded time.Time
+	// meanShares are the fillers' shares averaged up to averagedAt, presentShares
+	// those at that time.
+	meanShares    pacer.Shares
+	presentShares pacer.Shares
+	averagedAt    time.Time
 }
 
 // progress is how far a run was when it last advanced.
@@ -90,11 +94,6 @@
 			since[x.Run] = now
 		}
 	}
-	for run := range w.since {
-		if _, ok := since[run]; !ok {
-			w.runEnded = now
-		}
-	}
 	w.progress, w.since = seen, since
 	for run := range w.unwanted {
 		if w.listed[run] == nil {
