Smaller margins below the target; slowed fillers move more readily

Cause: batch waited while services had room: margins of 0.05 and 0.1 are half of what a service at its peak load leaves. Change: margins 0.03 and 0.07; sixteen moves at a time, also to a place with a little risk.

--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -16,11 +16,11 @@
 	// may be about to fall.
 	slowTime = time.Second
 	// moveRisk bounds the risk for services at the new place.
-	moveRisk = 0.05
+	moveRisk = 0.15
 	// maxMoves bounds the fillers that are moved at a time, maxTries those that
 	// are looked at: each look goes over all workers.
-	maxMoves = 8
-	maxTries = 16
+	maxMoves = 16
+	maxTries = 32
 	// lostPercent is how far a filler that saves nothing may be to be moved.
 	lostPercent = 15
 )
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -34,12 +34,12 @@
 
 // Margins of the load below its limit.
 const (
-	// lowerMargin is where fillers are slowed: the tail is then about three
-	// quarters of the target.
-	lowerMargin = 0.05
+	// lowerMargin is where fillers are slowed: the tail is then about five
+	// sixths of the target.
+	lowerMargin = 0.03
 	// raiseMargin is where they are let go again. The gap between the two keeps
 	// paces from swinging with the noise of the tails.
-	raiseMargin = 0.1
+	raiseMargin = 0.07
 	// minEffect is the least growth of the load for which a filler is slowed at
 	// all: many light fillers press as much as a heavy one.
 	minEffect = 0.005
