--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	s.LimitMemory()
 	n := &node{settings: s, path: c.Settings, log: log}
 	if err := n.open(); err != nil {
 		log.Error().Err(err).Msg("node: cannot start")
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -33,16 +33,12 @@
 	// MaxLease is the longest lease that an earlier leader may have granted.
 	// Zero: Lease.
 	MaxLease time.Duration
-	// Period is the time between heartbeats of a worker that is told nothing
-	// else. Zero: 1.5 s.
-	Period time.Duration
 	// StartEarly is how long before its time a repetition may start. Zero: not.
 	StartEarly time.Duration
 }
 
 const (
-	defaultLease  = 4 * time.Second
-	defaultPeriod = 1500 * time.Millisecond
+	defaultLease = 4 * time.Second
 	// clockDrift bounds how much slower a worker's clock may run: 2 %, as the
 	// platform states, and half of that again.
 	clockDrift = 0.03
@@ -96,9 +92,7 @@
 	if d.Settings.MaxLease == 0 {
 		d.Settings.MaxLease = d.Settings.Lease
 	}
-	if d.Settings.Period == 0 {
-		d.Settings.Period = defaultPeriod
-	}
+	d.Settings.Lease = min(d.Settings.Lease, d.Settings.MaxLease)
 	if d.Now == nil {
 		d.Now = time.Now
 	}
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -16,7 +16,7 @@
 	// may be about to fall.
 	slowTime = time.Second
 	// moveRisk bounds the risk for services at the new place.
-	moveRisk = 0.15
+	moveRisk = 0.3
 	// maxMoves bounds the fillers that are moved at a time, maxTries those that
 	// are looked at: each look goes over all workers.
 	maxMoves = 16
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,11 +53,9 @@
 	FirstStart bool
 	// Voters is how many voters the group should have. Zero: 3.
 	Voters int
-	// MemoryMB is the memory that the process may use. Zero: no bound.
+	// MemoryMB is the memory that the process may use. Zero: no bound. The
+	// garbage collector works harder near three quarters of it.
 	MemoryMB int64
-	// GracePeriod is the time from the order to stop until the process is
-	// killed.
-	GracePeriod time.Duration
 	// Retention is how long ended jobs are remembered.
 	Retention time.Duration
 	// Jobs are the bounds of the dispatcher.
@@ -114,6 +113,13 @@
 	return time.Duration(ts.Nano())
 }
 
+// LimitMemory lets the garbage collector keep the process within the settings.
+func (s *NodeSettings) LimitMemory() {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(s.MemoryMB << 20 * 3 / 4)
+	}
+}
+
 // NewJobReplica opens the data folder and the peer listener. It fails with
 // ErrSettings.
 func NewJobReplica(s *NodeSettings, logger zerolog.Logger) (*JobReplica, error) {
--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// MethodJoin asks the leader for a seat, MethodMembers any replica for the
-	// members that it knows.
-	MethodJoin    = "group/join"
+	// MethodJoin asks the leader for a seat.
+	MethodJoin = "group/join"
+	// MethodMembers asks any replica for the members that it knows.
 	MethodMembers = "group/members"
 
 	// DefaultSilentAfter is how long a member is silent before its seat may be
