--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,6 +56,9 @@
 	Leadership Leadership
 	// Settings are the bounds.
 	Settings Settings
+	// Advisor decides on workers where a queue's policy asks for it. Nil: jobs of
+	// such queues wait.
+	Advisor carobrock.Advisor
 	// WorkerAddress is where workers reach this replica; they are sent there
 	// while it leads.
 	WorkerAddress string
@@ -67,6 +70,7 @@
 	allocator allocator.Allocator
 	intake    intake
 	kick      chan struct{}
+	questions chan question
 
 	mu sync.Mutex
 	// term is the term that workers belongs to, and since when it lasts.
@@ -76,6 +80,8 @@
 	changed chan struct{}      // closed when the configuration may have changed
 	model   pacer.Model        // of the interference between images
 	rest    pacer.Rest         // latencies of services at rest
+	// advice holds what the advisor has said of each step.
+	advice map[carobrock.TaskRef]*advice
 	// fullTurn is when a turn last looked at everything that waits.
 	fullTurn time.Time
 	// peers holds the samples of the service tasks of each job.
@@ -101,15 +107,20 @@
 	d.changed = make(chan struct{})
 	d.workers = map[string]*worker{}
 	d.peers = map[string]map[*sample]bool{}
+	d.advice = map[carobrock.TaskRef]*advice{}
+	d.questions = make(chan question, maxQuestions)
 	d.intake.prepare()
 	d.Ledger.OnChange = d.stateChanged
 }
 
-// Run runs both loops until ctx ends.
+// Run runs the loops until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	loops := pool.New().WithContext(ctx).WithCancelOnError()
 	loops.Go(d.runIntake)
 	loops.Go(d.runPlacement)
+	if d.Advisor != nil {
+		loops.Go(d.runAdvice)
+	}
 	return loops.Wait()
 }
 
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -259,3 +260,54 @@
 		}
 	})
 }
+
+// advisor lets only some workers run anything, with tickets that name the step.
+type advisor struct {
+	eligible map[string]bool
+	calls    int
+}
+
+func (a *advisor) Advise(_ context.Context, step carobrock.TaskRef, workers []string) (map[string]string, error) {
+	a.calls++
+	if a.calls == 1 {
+		return nil, errors.New("the advisor is busy")
+	}
+	out := map[string]string{}
+	for _, name := range workers {
+		if a.eligible[name] {
+			out[name] = step.Job + "-" + name
+		}
+	}
+	return out, nil
+}
+
+func TestOnlyEligibleWorkersGetTasksOfAPolicy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := prepareWorld(t)
+		a := &advisor{eligible: map[string]bool{"b": true}}
+		w.d.Advisor = a
+		w.run(&carobrock.AdvisorPolicy{DecisionMillis: 10, ValidityMillis: 3000})
+		defer w.stop()
+		v, u := w.vm("a", 4), w.vm("b", 4)
+		w.must(v.beat())
+		w.must(u.beat())
+		w.submit("job", cores(2))
+		tickets := 0
+		for range 10 {
+			w.must(v.beat())
+			w.must(u.beat())
+			for _, s := range u.orders.Start {
+				if s.Ticket != "job-b" {
+					t.Errorf("ticket %q", s.Ticket)
+				}
+				tickets++
+			}
+		}
+		if len(v.runs()) > 0 || tickets != 2 {
+			t.Errorf("runs %v on the worker that may not, %d tickets on the other", v.runs(), tickets)
+		}
+		if a.calls > 3 {
+			t.Errorf("%d questions for one step", a.calls)
+		}
+	})
+}
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -43,6 +43,9 @@
 				continue
 			}
 			j, _, _ := s.Task(run.Task)
+			if j.Queue.Policy != nil {
+				continue // another worker may not be allowed to run it
+			}
 			r := &allocator.Request{
 				Job: run.Task.Job, Step: step, Pool: j.Queue.Pool, MaxRisk: moveRisk,
 				Avoid: map[carobrock.WorkerLife]bool{w.report.WorkerLife: true},
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -92,12 +92,13 @@
 		d.releaseStops(s)
 		view := d.view(s, now)
 		full := now.Sub(d.fullTurn) >= turnInterval
-		if requests := d.requests(s, full); len(requests) > 0 {
+		if requests := d.requests(s, full, view, now); len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, view, maxAssignments)
 		}
 		if full {
 			d.fullTurn = now
 			d.moveSlowed(s, view, now)
+			d.dropAdvice(now)
 		}
 	})
 	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 {
@@ -227,7 +228,7 @@
 // requests returns the waiting tasks whose turn has come, most urgent first.
 // Fillers that have waited for a harmless place are left out unless full is
 // set: they are many, and the services' loads change slowly.
-func (d *Dispatcher) requests(s *bookkeeper.State, full bool) []allocator.Request {
+func (d *Dispatcher) requests(s *bookkeeper.State, full bool, view []*allocator.Worker, now time.Time) []allocator.Request {
 	var out []allocator.Request
 	at := d.Now().Add(d.Settings.StartEarly).UnixMilli()
 	order := map[*carobrock.Step]urgency{}
@@ -248,6 +249,9 @@
 					u, earns := urgencyOf(j, o, k, i, at)
 					r.MaxRisk = firstRisk[earns] + riskPerSecond*float64(age/1000)
 					order[r.Step] = u
+					if j.Queue.Policy != nil {
+						d.admit(&r, j.Queue.Policy, view, now)
+					}
 					out = append(out, r)
 				}
 			}
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -70,6 +70,14 @@
 // newWorld starts a dispatcher that leads in term 1, with one pool and one
 // queue of three attempts. The caller stops it.
 func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := prepareWorld(t)
+	w.run(nil)
+	return w
+}
+
+// prepareWorld makes a world whose dispatcher does not run yet.
+func prepareWorld(t *testing.T) *world {
 	t.Helper()
 	l := &bookkeeper.Ledger{}
 	l.Prepare()
@@ -79,14 +87,18 @@
 		Ledger: l, Leadership: g, Settings: dispatcher.Settings{Lease: testLease}, Logger: zerolog.Nop(),
 	}
 	w.d.Prepare()
+	return w
+}
+
+// run starts the dispatcher; the queue has a policy if one is given.
+func (w *world) run(policy *carobrock.AdvisorPolicy) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
 	w.done.Go(func() { _ = w.d.Run(ctx) })
 	w.must(w.d.Configure(ctx, &carobrock.Configuration{
 		Version: 1, Pools: []carobrock.WorkerPool{{Name: "pool"}},
-		Queues: []carobrock.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "pool", MaxAttempts: 3, TimeoutMillis: 1000}},
+		Queues: []carobrock.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "pool", MaxAttempts: 3, TimeoutMillis: 1000, Policy: policy}},
 	}))
-	return w
 }
 
 func (w *world) stop() {
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -58,6 +58,9 @@
 	MemoryMB int64
 	// Retention is how long ended jobs are remembered.
 	Retention time.Duration
+	// Advisor decides on workers where a queue's policy asks for it, nil if there
+	// is none.
+	Advisor carobrock.Advisor
 	// Jobs are the bounds of the dispatcher.
 	Jobs dispatcher.Settings
 }
@@ -139,7 +142,7 @@
 		},
 	}
 	d := &dispatcher.Dispatcher{
-		Ledger: ledger, Leadership: leadership{replica}, Settings: s.Jobs, WorkerAddress: s.ControlAddress, Logger: logger,
+		Ledger: ledger, Leadership: leadership{replica}, Settings: s.Jobs, Advisor: s.Advisor, WorkerAddress: s.ControlAddress, Logger: logger,
 	}
 	d.Prepare()
 	if err := replica.Prepare(); err != nil {
