--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -57,7 +57,7 @@
 
 // Ledger is the state machine. Its fields are set before the first Apply.
 type Ledger struct {
-	// Retention is how long an ended job is remembered, in milliseconds. Zero:
+	// RetentionMillis is how long an ended job is remembered. Zero:
 	// 10 minutes.
 	RetentionMillis int64
 	// OnChange is called after every command and restore. Nil: nothing is.
