Dispatcher and allocator: one removal, one expiry, risk computed once

Cause: the last read of the change found a worker taken out of the table in four ways, the end of a lease worked out in two places, the risk of a filler computed twice for each worker in the placement's inner loop, a setting that nothing set (StartEarly), a guard in moveSlowed that an empty loop makes needless, and two comparisons written out by hand. Change: remove, expiry, and a score that is told the risk; the rest taken out. No behaviour, bound or assertion changed. Left: hasOrders builds the orders to see whether there are any; the parts Maintained and Checkpoints of JobCommand and MilliCPU of RunReport have no user until waves and periodic checkpoints are built.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -76,10 +77,17 @@
 // scoreIfFits returns the score of a worker, unfit if it must not get a task of
 // r.
 func (a *Allocator) scoreIfFits(r *Request, w *Worker) float64 {
-	if !Fits(r, w) || r.Step.Filler && a.risk(r.Step, w) > r.MaxRisk {
+	if !Fits(r, w) {
 		return unfit
 	}
-	return a.score(r, w)
+	risk := 0.0
+	if r.Step.Filler {
+		risk = pacer.Risk(a.Model, w.Services, filler(r.Step, w))
+	}
+	if risk > r.MaxRisk {
+		return unfit
+	}
+	return score(r, w) - riskWeight*risk
 }
 
 // highest returns the index of the highest score, -1 if all are unfit.
@@ -138,14 +146,7 @@
 		racks = append(racks, rack)
 	}
 	slices.SortFunc(racks, func(a, b string) int {
-		switch {
-		case room[a] != room[b]:
-			return int(room[b] - room[a])
-		case a < b:
-			return -1
-		default:
-			return 1
-		}
+		return cmp.Or(cmp.Compare(room[b], room[a]), cmp.Compare(a, b))
 	})
 	return racks
 }
@@ -225,8 +226,9 @@
 	imageWeight = 4.0
 )
 
-// score returns how well a worker suits a task of r; higher is better.
-func (a *Allocator) score(r *Request, w *Worker) float64 {
+// score returns how well a worker suits a task of r but for the risk to its
+// services; higher is better.
+func score(r *Request, w *Worker) float64 {
 	whole := float64(max(1, w.Capacity.MilliCPU))
 	s := -distrustWeight * w.Distrust
 	switch {
@@ -235,7 +237,6 @@
 		if lack := r.Step.Size.MilliCPU - w.SpareMilliCPU; lack > 0 {
 			s -= crowdWeight * float64(lack) / whole
 		}
-		s -= riskWeight * a.risk(r.Step, w)
 	case r.Step.Service:
 		s += 1 - float64(w.Free.MilliCPU)/whole + imageWeight*sameImage(r.Step.Image, w)
 	default:
@@ -250,12 +251,6 @@
 	return s
 }
 
-// risk returns the expected number of the worker's service tasks that a filler
-// of a step would bring above their targets.
-func (a *Allocator) risk(step *carobrock.Step, w *Worker) float64 {
-	return pacer.Risk(a.Model, w.Services, filler(step, w))
-}
-
 // FindBetter returns a worker on which a filler of a step harms nobody and finds
 // spare processors, nil if there is none, and counts the filler there.
 func (a *Allocator) FindBetter(r *Request, workers []*Worker) *Worker {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -33,8 +33,6 @@
 	// MaxLease is the longest lease that an earlier leader may have granted.
 	// Zero: Lease.
 	MaxLease time.Duration
-	// StartEarly is how long before its time a repetition may start. Zero: not.
-	StartEarly time.Duration
 }
 
 const (
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -59,11 +59,10 @@
 		}
 		if w != nil {
 			d.endLife(w, "worker started again")
-			d.drop(w)
 		}
 		w = newWorker()
 		// An earlier answer of this leader may have been lost on its way to it.
-		w.leaseEnd = d.leaseEnd(now)
+		w.leaseEnd = expiry(now, d.Settings.Lease)
 		d.workers[r.Name] = w
 		d.endEarlierLives(r)
 		d.Logger.Info().Str("worker", r.Name).Int64("started", r.Started).Str("machine", r.Machine).
@@ -101,11 +100,9 @@
 	if r.Machine == "" {
 		return
 	}
-	for name, w := range d.workers {
+	for _, w := range d.workers {
 		if w.report != nil && w.report.Machine == r.Machine && w.report.WorkerLife != r.WorkerLife && w.report.Started <= r.Started {
 			d.endLife(w, "machine has a new worker")
-			d.drop(w)
-			delete(d.workers, name)
 		}
 	}
 	d.Ledger.View(func(s *bookkeeper.State) {
@@ -117,14 +114,27 @@
 	})
 }
 
-// endLife records that a life is over, with the newest checkpoints.
+// endLife takes a worker whose life is over out of the table and records that,
+// with the newest checkpoints. The caller holds d.mu.
 func (d *Dispatcher) endLife(w *worker, reason string) {
-	w.release()
+	d.remove(w)
 	d.Logger.Info().Str("worker", w.report.Name).Int64("started", w.report.Started).Int("runs", len(w.listed)).
 		Str("reason", reason).Msg("dispatcher: worker is gone")
 	d.loseLife(w.report.WorkerLife, w, true)
 }
 
+// remove takes a worker out of the table and answers its heartbeat. The caller
+// holds d.mu.
+func (d *Dispatcher) remove(w *worker) {
+	w.release()
+	if d.workers[w.report.Name] == w {
+		delete(d.workers, w.report.Name)
+	}
+	for run := range w.samples {
+		d.forget(w, run)
+	}
+}
+
 // loseLife puts the loss of a life into the next command.
 func (d *Dispatcher) loseLife(life carobrock.WorkerLife, w *worker, gone bool) {
 	lost := carobrock.LostWorker{Life: life, Gone: gone}
@@ -250,7 +260,7 @@
 		w.offered[o.Start[i].Run] = true
 	}
 	w.repaced = false
-	if end := d.leaseEnd(received); end.After(w.leaseEnd) {
+	if end := expiry(received, d.Settings.Lease); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
 	if term, ok := d.Leadership.Term(); !ok || term != o.FencingToken {
@@ -259,10 +269,10 @@
 	return o, nil
 }
 
-// leaseEnd returns when a lease granted in answer to a heartbeat that came at
-// received has expired on the worker's clock, at the latest.
-func (d *Dispatcher) leaseEnd(received time.Time) time.Time {
-	return received.Add(time.Duration(float64(d.Settings.Lease)*(1+clockDrift)) + leaseSlack)
+// expiry returns when a lease granted in answer to a heartbeat that came by at
+// has expired on the worker's clock, at the latest.
+func expiry(at time.Time, lease time.Duration) time.Time {
+	return at.Add(time.Duration(float64(lease)*(1+clockDrift)) + leaseSlack)
 }
 
 // fill derives the orders from the recorded state and the newest heartbeat. The
@@ -301,18 +311,16 @@
 	}
 	d.mu.Lock()
 	w := d.workers[name]
-	if w != nil {
-		d.drop(w)
-		w.release()
-	}
-	delete(d.workers, name)
-	d.mu.Unlock()
 	if w == nil {
+		d.mu.Unlock()
 		return nil
 	}
+	d.remove(w)
+	lost := carobrock.LostWorker{Life: w.report.WorkerLife, Checkpoints: w.checkpoints(), Gone: true}
+	d.mu.Unlock()
 	d.Logger.Info().Str("worker", name).Msg("dispatcher: worker left")
 	_, _, err := d.commit(ctx, func(c *carobrock.JobCommand) int {
-		c.Lost = append(c.Lost, carobrock.LostWorker{Life: w.report.WorkerLife, Checkpoints: w.checkpoints(), Gone: true})
+		c.Lost = append(c.Lost, lost)
 		return 0
 	})
 	return err
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -31,7 +31,7 @@
 	moves, tries := 0, 0
 	for name, w := range d.workers {
 		l := s.Lives[w.report.WorkerLife]
-		if l == nil || now.Sub(w.pacedAt) > 10*slowTime && len(w.paces) == 0 {
+		if l == nil {
 			continue
 		}
 		for run, pace := range w.paces {
--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -118,13 +118,6 @@
 	}
 }
 
-// drop forgets the samples of a worker that is gone. The caller holds d.mu.
-func (d *Dispatcher) drop(w *worker) {
-	for run := range w.samples {
-		d.forget(w, run)
-	}
-}
-
 // learn compares a sample with the other tasks of its job, which share its load
 // but not what is beside them.
 func (d *Dispatcher) learn(job string, m *sample, now time.Time) {
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -66,8 +66,7 @@
 		if w == nil || w.report.WorkerLife != c.Lost[i].Life {
 			continue
 		}
-		d.drop(w)
-		delete(d.workers, c.Lost[i].Life.Name)
+		d.remove(w)
 	}
 	for i := range c.Withdrawn {
 		if w := d.workers[c.Withdrawn[i].Life.Name]; w != nil {
@@ -109,7 +108,7 @@
 
 // findLost adds the lives whose leases have all expired.
 func (d *Dispatcher) findLost(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
-	inherited := d.since.Add(time.Duration(float64(d.Settings.MaxLease)*(1+clockDrift)) + leaseSlack)
+	inherited := expiry(d.since, d.Settings.MaxLease)
 	for life, l := range s.Lives {
 		if len(l.Runs) == 0 {
 			continue
@@ -188,12 +187,7 @@
 		out = append(out, v)
 	}
 	// A fixed order makes equal scores fall the same way each turn.
-	slices.SortFunc(out, func(a, b *allocator.Worker) int {
-		if a.Life.Name < b.Life.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *allocator.Worker) int { return cmp.Compare(a.Life.Name, b.Life.Name) })
 	return out
 }
 
@@ -230,7 +224,7 @@
 // set: they are many, and the services' loads change slowly.
 func (d *Dispatcher) requests(s *bookkeeper.State, full bool, view []*allocator.Worker, now time.Time) []allocator.Request {
 	var out []allocator.Request
-	at := d.Now().Add(d.Settings.StartEarly).UnixMilli()
+	at := d.Now().UnixMilli()
 	order := map[*carobrock.Step]urgency{}
 	for _, j := range s.Open {
 		if j.Queue.Pool == "" {
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -106,7 +106,7 @@
 }
 
 // gatewayModel is a gateway that uses all that it was ever told that it may,
-// until it has taken note of less and says so.
+// until it knows of the smaller grant and says so.
 type gatewayModel struct {
 	Gateway
 	gone bool
