Client: move on from a frozen server after a second

Cause: a try took up to 5 s, half of the command line's 10 s, so one frozen server held a command up; with two frozen ones it gave up. Change: the first round gives each address 1 s, each further round doubles that; replacing a replica keeps its 5 s.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -50,8 +50,16 @@
 }
 
 const (
-	tryTimeout = 5 * time.Second
-	retryPause = 100 * time.Millisecond
+	// firstTryTimeout bounds a try in the first round over the addresses: a
+	// process that is up commits a change in tens of milliseconds, a frozen one
+	// must not use up the caller's time. Each further round doubles it, up to
+	// maxTryTimeout.
+	firstTryTimeout = time.Second
+	maxTryTimeout   = 8 * time.Second
+	// replaceTimeout bounds a try to replace a replica: the newcomer first takes
+	// over the whole state.
+	replaceTimeout = 5 * time.Second
+	retryPause     = 100 * time.Millisecond
 )
 
 // NewChangeID returns a new random change ID.
@@ -64,6 +72,11 @@
 // do makes a request at one address after the other until one answers for good
 // or ctx ends. Every request of this package may be repeated.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	return c.doWithin(ctx, firstTryTimeout, method, path, in, out)
+}
+
+// doWithin is do with the time that a try of the first round may take.
+func (c *Client) doWithin(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return err
@@ -73,14 +86,18 @@
 		if len(c.Addresses) == 0 {
 			return last
 		}
-		err := c.try(ctx, c.Addresses[i%len(c.Addresses)], method, path, body, out)
+		err := c.try(ctx, timeout, c.Addresses[i%len(c.Addresses)], method, path, body, out)
 		if !isRepeatable(err) {
 			return err
 		}
 		last = err
-		if i >= len(c.Addresses)-1 && !waitToRetry(ctx) {
+		if (i+1)%len(c.Addresses) > 0 {
+			continue
+		}
+		if !waitToRetry(ctx) {
 			return last
 		}
+		timeout = min(2*timeout, maxTryTimeout)
 	}
 }
 
@@ -105,8 +122,8 @@
 	return true
 }
 
-func (c *Client) try(ctx context.Context, address, method, path string, body []byte, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+func (c *Client) try(ctx context.Context, timeout time.Duration, address, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
@@ -230,5 +247,5 @@
 // ReplaceReplica swaps the member called name for the replica at address. It
 // returns when the newcomer holds everything committed.
 func (c *Client) ReplaceReplica(ctx context.Context, name, address string) error {
-	return c.do(ctx, http.MethodPost, "/v1/replicas/"+url.PathEscape(name)+"/replace", map[string]any{"address": address}, &struct{}{})
+	return c.doWithin(ctx, replaceTimeout, http.MethodPost, "/v1/replicas/"+url.PathEscape(name)+"/replace", map[string]any{"address": address}, &struct{}{})
 }
