Forwarder: a request waits for a connection instead of being refused

Cause: a slot is given back a moment before net/http takes the connection of its answer back into the idle ones. The next request wanted a new connection, was above the limit of connections, failed three times within microseconds and was refused with notRun, although an upstream was free. Ruled out: dial timeouts and upstreams that are not ready: the refusal's error, printed for a trial, was 'no connection to the upstream is free'. Change: dialing waits up to its timeout for a connection to become free.

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -56,6 +56,8 @@
 	mu        sync.Mutex
 	open      int
 	limit     int
+	// freed is closed when a connection may have become free.
+	freed chan struct{}
 	// answeredAt is when the last whole answer came.
 	answeredAt time.Time
 }
@@ -83,7 +85,7 @@
 }
 
 func newLine(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *line {
-	l := &line{}
+	l := &line{freed: make(chan struct{})}
 	l.transport = &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return l.dial(ctx, address, dial)
@@ -102,14 +104,11 @@
 
 // dial opens a connection within the limit.
 func (l *line) dial(ctx context.Context, address string, dial func(context.Context, string, string) (net.Conn, error)) (net.Conn, error) {
-	if !l.reserve() {
-		l.transport.CloseIdleConnections()
-		if !l.reserve() {
-			return nil, errNoConnection
-		}
-	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	if err := l.await(ctx); err != nil {
+		return nil, err
+	}
 	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		l.release()
@@ -118,20 +117,47 @@
 	return &countedConn{Conn: conn, onClose: l.release}, nil
 }
 
-func (l *line) reserve() bool {
+// await reserves a connection. Where none is free it waits for one: a slot is
+// given back a moment before net/http takes the connection of the last answer
+// back, and the transport uses that connection as soon as it has it.
+func (l *line) await(ctx context.Context) error {
+	for {
+		freed, ok := l.reserve()
+		if ok {
+			return nil
+		}
+		l.transport.CloseIdleConnections()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return errNoConnection
+		}
+	}
+}
+
+// reserve counts a connection, or returns a channel that is closed when one may
+// have become free.
+func (l *line) reserve() (freed <-chan struct{}, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open >= l.limit {
-		return false
+		return l.freed, false
 	}
 	l.open++
-	return true
+	return nil, true
 }
 
 func (l *line) release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
+	l.free()
+}
+
+// free wakes those who wait for a connection. The caller holds l.mu.
+func (l *line) free() {
+	close(l.freed)
+	l.freed = make(chan struct{})
 }
 
 // setLimit sets how many connections may be open; idle ones above it close.
@@ -139,6 +165,7 @@
 	l.mu.Lock()
 	shrunk := l.open > n
 	l.limit = n
+	l.free()
 	l.mu.Unlock()
 	if shrunk {
 		l.transport.CloseIdleConnections()
