Planned-stop test waits for the upstream before it sends load

Cause of the listed failure (36 answers 'the pool has no usable upstream'): the load began when the gateways were ready, which they also are while no worker has announced itself; the emulated worker started late beside load. A worker started 1.5 s late gave exactly these answers. Ruled out: gateways that are ready before their slots while a worker is known (the refusal for that is another one). Conclusion: the refusals were true; the test began too early.

--- a/cmd/carobrock/drain_test.go
+++ b/cmd/carobrock/drain_test.go
@@ -53,6 +53,7 @@
 	b := &balancer{targets: addresses[2:4]}
 	for i := range b.targets {
 		b.waitReady(t, i)
+		b.waitUpstream(t, i)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	group := conc.NewWaitGroup()
@@ -125,6 +126,24 @@
 	}
 }
 
+// waitUpstream returns when gateway i has answered a request: a gateway is also
+// ready while no worker has announced itself, and then truthfully refuses.
+func (b *balancer) waitUpstream(t *testing.T, i int) {
+	t.Helper()
+	for start := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		res, err := http.Post("http://"+b.targets[i]+"/x", "text/plain", strings.NewReader("tow"))
+		if err == nil {
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Since(start) > acceptWithin {
+			t.Fatalf("gateway %d has no upstream: %v", i, err)
+		}
+	}
+}
+
 func (b *balancer) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		for i := range b.targets {
