Pacing: an order of a pace is sent once, and again after a second

Cause: each answer repeated the pace of every slowed filler. A trial that set paces in steps and compared the answers with the fillers' progress showed that a pace takes effect 0.1 to 0.4 s after its order if it is ordered once, and only after 0.1 to 1.2 s, in multiples of the time between answers, if every answer repeats it: a repeated order starts the worker's delay anew. Change: a pace is sent once and repeated after a second, which covers an answer that was lost. Ruled out: lost answers, and the lag of the reported figures (progress shows the same delay).

--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -234,7 +234,7 @@
 	d.Ledger.View(func(s *bookkeeper.State) {
 		o := &carobrock.WorkerOrders{}
 		d.fill(s, w, o)
-		found = len(o.Start)+len(o.Stop) > 0 || w.repaced
+		found = len(o.Start)+len(o.Stop) > 0 || w.hasNewPaces()
 	})
 	return found
 }
@@ -259,7 +259,8 @@
 	for i := range o.Start {
 		w.offered[o.Start[i].Run] = true
 	}
-	w.repaced = false
+	o.Pace = w.duePaces(received)
+	w.notePaces(o.Pace, received)
 	if end := expiry(received, d.Settings.Lease); end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
@@ -296,7 +297,6 @@
 			o.Stop = append(o.Stop, run)
 		}
 	}
-	o.Pace = w.paceOrders()
 }
 
 // mayStart reports whether the worker may be given new runs.
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -34,9 +34,9 @@
 		if l == nil {
 			continue
 		}
-		for run, pace := range w.paces {
+		for run, t := range w.throttles {
 			step := l.Runs[run]
-			if moves >= maxMoves || tries >= maxTries || step == nil || pace > slowPace || now.Sub(w.slowSince[run]) < slowTime || w.unwanted[run] != "" {
+			if moves >= maxMoves || tries >= maxTries || step == nil || t.percent > slowPace || now.Sub(t.slowSince) < slowTime || w.unwanted[run] != "" {
 				continue
 			}
 			if !step.Checkpoints && w.progress[run].percent > lostPercent || !s.IsActive(w.report.WorkerLife, run) {
@@ -57,7 +57,7 @@
 			}
 			moves++
 			w.unwanted[run] = "slowed"
-			d.Logger.Debug().Str("worker", name).Str("job", run.Task.Job).Int("pace", pace).Str("to", to.Life.Name).Msg("dispatcher: slowed filler is moved")
+			d.Logger.Debug().Str("worker", name).Str("job", run.Task.Job).Int("pace", t.percent).Str("to", to.Life.Name).Msg("dispatcher: slowed filler is moved")
 			w.release()
 		}
 	}
--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -173,10 +173,7 @@
 
 // filler describes a filler on the worker.
 func (w *worker) filler(run carobrock.Run, step *carobrock.Step, now time.Time) pacer.Filler {
-	f := pacer.Filler{Image: step.Image, Share: float64(step.Size.MilliCPU) / float64(max(1, w.report.Capacity.MilliCPU)), Pace: 100}
-	if pace, ok := w.paces[run]; ok {
-		f.Pace = pace
-	}
+	f := pacer.Filler{Image: step.Image, Share: float64(step.Size.MilliCPU) / float64(max(1, w.report.Capacity.MilliCPU)), Pace: w.paceOf(run)}
 	if since, ok := w.since[run]; ok {
 		f.Felt = math.Min(1, float64(now.Sub(since))/float64(tailWindow))
 	}
@@ -216,25 +213,14 @@
 		if pace == before || !settled && fillers[i].Felt == 1 {
 			continue
 		}
-		w.paces[runs[i]] = pace
-		if pace > slowPace {
-			delete(w.slowSince, runs[i])
-		} else if w.slowSince[runs[i]].IsZero() {
-			w.slowSince[runs[i]] = now
+		t := w.throttles[runs[i]]
+		if t == nil {
+			t = &throttle{percent: before}
+			w.throttles[runs[i]] = t
 		}
+		t.order(pace, now)
 		w.pacedAt = now
-		w.repaced = true
 		d.Logger.Debug().Str("worker", w.report.Name).Str("job", runs[i].Task.Job).Str("image", fillers[i].Image).Int("before", before).Int("pace", pace).
 			Msg("dispatcher: pace changed")
 	}
 }
-
-// paceOrders returns the paces of all runs that were ever slowed: an order that
-// was lost on the way is repeated this way. The caller holds d.mu.
-func (w *worker) paceOrders() []carobrock.PaceRun {
-	var out []carobrock.PaceRun
-	for run, pace := range w.paces {
-		out = append(out, carobrock.PaceRun{Run: run, Percent: pace})
-	}
-	return out
-}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -38,13 +38,10 @@
 	progress map[carobrock.Run]progress
 	// unwanted holds runs that are to be stopped though their tasks go on.
 	unwanted map[carobrock.Run]string
-	// paces holds the pace of each run that was ever slowed, in percent; pacedAt
-	// is when one changed last, repaced is set until the worker was told.
-	paces   map[carobrock.Run]int
-	pacedAt time.Time
-	repaced bool
-	// slowSince tells since when a run's pace is at most slowPace.
-	slowSince map[carobrock.Run]time.Time
+	// throttles holds the pace of each run that was ever slowed; pacedAt is when
+	// one changed last.
+	throttles map[carobrock.Run]*throttle
+	pacedAt   time.Time
 	// samples holds what the tail latencies of service tasks tell, since when
 	// each run was first listed.
 	samples map[carobrock.Run]*sample
@@ -65,7 +62,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
-		paces: map[carobrock.Run]int{}, offered: map[carobrock.Run]bool{}, withdrawn: map[carobrock.Run]bool{}, slowSince: map[carobrock.Run]time.Time{}, samples: map[carobrock.Run]*sample{},
+		throttles: map[carobrock.Run]*throttle{}, offered: map[carobrock.Run]bool{}, withdrawn: map[carobrock.Run]bool{}, samples: map[carobrock.Run]*sample{},
 	}
 }
 
@@ -100,10 +97,9 @@
 			delete(w.unwanted, run)
 		}
 	}
-	for run := range w.paces {
+	for run := range w.throttles {
 		if w.listed[run] == nil {
-			delete(w.paces, run)
-			delete(w.slowSince, run)
+			delete(w.throttles, run)
 		}
 	}
 }
@@ -121,11 +117,10 @@
 		if step == nil || w.unwanted[run] != "" {
 			continue
 		}
-		pace, slowed := w.paces[run]
 		switch {
 		case w.report.Leaving && (step.Checkpoints || step.Service):
 			w.unwanted[run] = "leaving"
-		case step.Gang || x.Percent >= 100 || slowed && pace < 50:
+		case step.Gang || x.Percent >= 100 || w.paceOf(run) < 50:
 		case now.Sub(w.progress[run].at) > stallTime && now.Sub(w.pacedAt) > stallTime:
 			w.unwanted[run] = "stalled"
 			w.record.add(now, 1, 0)
