Pacing from the services' own load; bursts of fillers; knowledge that outlives a leader

Causes, from trials on a scratch copy that printed every heartbeat and fitted the tails of services of one job on different VMs: - A filler alternates between quiet phases and bursts of some 3 s, each task by itself; in a burst it uses all of its request (two thirds else) and presses four times as hard. One factor for both made every placement a surprise: 80 % of the time above target began within a second of a new filler's start. - The load that a tail tells was compared with paces that had not taken effect, so that paces swung. - A new leader took every filler for running at full pace, let paced ones go all at once, and knew no pair of images. - Fillers at a standstill kept the memory of VMs on which others could work. Change: the own load of a service is kept apart from what fillers press; shares are weighted by the pace in force and by the phase that the reported use tells; a filler is placed only where its full pace fits beside all others in a burst, unknown pairs being taken for worse than estimated; what was learned is replicated every 2 s; a new leader orders the paces that it finds; parked fillers go back into the queue; begun jobs go first and fresh ones before stale ones; no order follows one that has not taken effect. Risk, hope and easing of services are gone from pacer.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -45,7 +45,7 @@
 // found no worker in this turn, so that r finds none either.
 func isRefused(refused map[string]*Request, r *Request) bool {
 	other := refused[r.Step.Image]
-	return r.Step.Filler && other != nil && other.Pool == r.Pool && r.MaxRisk <= other.MaxRisk &&
+	return r.Step.Filler && other != nil && other.Pool == r.Pool && r.MinPace >= other.MinPace &&
 		other.Step.Size.Fits(r.Step.Size) && other.Step.Label == "" && other.Step.MaxPerWorker == 0 && !other.NeedsTicket
 }
 
@@ -80,14 +80,14 @@
 	if !Fits(r, w) {
 		return unfit
 	}
-	risk := 0.0
-	if r.Step.Filler {
-		risk = pacer.Risk(a.Model, w.Services, filler(r.Step, w))
+	if !r.Step.Filler {
+		return score(r, w)
 	}
-	if risk > r.MaxRisk {
+	use := pacer.Use(a.Model, w.Services, filler(r.Step, w))
+	if use*r.MinPace > 1 {
 		return unfit
 	}
-	return score(r, w) - riskWeight*risk
+	return score(r, w) - useWeight*use
 }
 
 // highest returns the index of the highest score, -1 if all are unfit.
@@ -215,18 +215,18 @@
 	waitingWeight = 0.1
 	// distrustWeight outweighs all else: work on a failing worker is lost.
 	distrustWeight = 10.0
-	// riskWeight is the cost of one service task above its target: it earns
-	// nothing meanwhile and counts four times against the site.
-	riskWeight = 4.0
+	// useWeight is the cost of all the room below the services' limits, which
+	// other fillers could use.
+	useWeight = 0.5
 	// crowdWeight is the cost of asking for more processors than are spare: the
 	// fillers there slow down in proportion.
-	crowdWeight = 2.0
+	crowdWeight = 4.0
 	// imageWeight prefers service tasks of one image together: what presses on
 	// one image then presses on few workers.
 	imageWeight = 4.0
 )
 
-// score returns how well a worker suits a task of r but for the risk to its
+// score returns how well a worker suits a task of r but for the pressure on its
 // services; higher is better.
 func score(r *Request, w *Worker) float64 {
 	whole := float64(max(1, w.Capacity.MilliCPU))
--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -21,7 +21,7 @@
 
 func request(n int, step carobrock.Step) allocator.Request {
 	step.Count = n
-	r := allocator.Request{Job: "job", Step: &step, Pool: "pool", MaxRisk: 0.1}
+	r := allocator.Request{Job: "job", Step: &step, Pool: "pool", MinPace: 0.5}
 	if step.MaxPerWorker > 0 {
 		r.OnWorker = map[carobrock.WorkerLife]int{}
 	}
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -51,9 +51,9 @@
 	OnWorker map[carobrock.WorkerLife]int
 	// Avoid names workers that should not get a task of the step again.
 	Avoid map[carobrock.WorkerLife]bool
-	// MaxRisk bounds the risk of a filler for the services beside it; above it
-	// the filler waits.
-	MaxRisk float64
+	// MinPace is the share of its full pace, 0 to 1, at which a filler must be able
+	// to work beside the services; else it waits.
+	MinPace float64
 	// Tickets holds the worker's tickets if only some workers may run the step.
 	Tickets map[string]string
 	// NeedsTicket is set if only workers in Tickets may run the step.
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -26,6 +26,8 @@
 	Waves map[int64]*Wave `cbor:"4,keyasint"`
 	// Submitted counts the jobs ever submitted.
 	Submitted uint64 `cbor:"5,keyasint"`
+	// Learned is what the last leader knew of interference, nil if nothing.
+	Learned *carobrock.Interference `cbor:"6,keyasint,omitempty"`
 
 	// Open lists the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
@@ -160,6 +162,9 @@
 			w.Begun[m.Machine] = true
 		}
 	}
+	if c.Learned != nil {
+		s.Learned = c.Learned
+	}
 	s.expire(c.AtUnixMillis - retention)
 	return res
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -80,6 +80,8 @@
 	rest    pacer.Rest         // latencies of services at rest
 	// advice holds what the advisor has said of each step.
 	advice map[carobrock.TaskRef]*advice
+	// learnedAt is when the model was last recorded.
+	learnedAt time.Time
 	// fullTurn is when a turn last looked at everything that waits.
 	fullTurn time.Time
 	// peers holds the samples of the service tasks of each job.
@@ -154,6 +156,8 @@
 		}
 		d.workers = map[string]*worker{}
 		d.peers = map[string]map[*sample]bool{}
+		d.Ledger.View(func(s *bookkeeper.State) { d.model, d.rest = pacer.Import(s.Learned) })
+		d.learnedAt = d.since
 		d.Logger.Info().Uint64("term", term).Msg("dispatcher: leads")
 	}
 	return nil
--- a/internal/dispatcher/move.go
+++ b/internal/dispatcher/move.go
@@ -15,8 +15,9 @@
 	// slowTime is how long a filler must have been that slow: its service's load
 	// may be about to fall.
 	slowTime = time.Second
-	// moveRisk bounds the risk for services at the new place.
-	moveRisk = 0.3
+	// parkedTime is how long a filler may hardly go on where no other worker has
+	// room for it; then it waits in the queue and frees the memory for others.
+	parkedTime = 2500 * time.Millisecond
 	// maxMoves bounds the fillers that are moved at a time, maxTries those that
 	// are looked at: each look goes over all workers.
 	maxMoves = 16
@@ -47,17 +48,19 @@
 				continue // another worker may not be allowed to run it
 			}
 			r := &allocator.Request{
-				Job: run.Task.Job, Step: step, Pool: j.Queue.Pool, MaxRisk: moveRisk,
+				Job: run.Task.Job, Step: step, Pool: j.Queue.Pool, MinPace: 1,
 				Avoid: map[carobrock.WorkerLife]bool{w.report.WorkerLife: true},
 			}
 			tries++
-			to := d.allocator.FindBetter(r, view)
-			if to == nil {
+			to := ""
+			if w := d.allocator.FindBetter(r, view); w != nil {
+				to = w.Life.Name
+			} else if now.Sub(t.slowSince) < parkedTime {
 				continue
 			}
 			moves++
 			w.unwanted[run] = "slowed"
-			d.Logger.Debug().Str("worker", name).Str("job", run.Task.Job).Int("pace", t.percent).Str("to", to.Life.Name).Msg("dispatcher: slowed filler is moved")
+			d.Logger.Debug().Str("worker", name).Str("job", run.Task.Job).Int("pace", t.percent).Str("to", to).Msg("dispatcher: slowed filler is moved")
 			w.release()
 		}
 	}
--- a/internal/dispatcher/throttle.go
+++ b/internal/dispatcher/throttle.go
@@ -10,6 +10,9 @@
 	// paceDelay is how long after its order a pace takes effect, about the middle
 	// of what workers were seen to take: 0.1 to 0.4 s.
 	paceDelay = 250 * time.Millisecond
+	// paceHold is how long an order that has left is not followed by another one,
+	// which would put the first off: the longest delay that was seen.
+	paceHold = 400 * time.Millisecond
 	// paceResend is when the order of a pace is repeated, in case the answer that
 	// carried it was lost. A worker begins its delay anew with every order, also
 	// with one of the same pace, so that frequent repetition would put the pace
@@ -51,6 +54,11 @@
 	return t.percent
 }
 
+// isOnItsWay reports whether an order has left that may not have taken effect.
+func (t *throttle) isOnItsWay(now time.Time) bool {
+	return !t.sentAt.IsZero() && now.Sub(t.sentAt) < paceHold
+}
+
 // isDue reports whether the pace is to be sent.
 func (t *throttle) isDue(now time.Time) bool {
 	return t.sentAt.IsZero() || now.Sub(t.sentAt) >= paceResend
@@ -72,6 +80,25 @@
 	return 100
 }
 
+// adopt takes over a filler that another leader started: its pace is guessed from
+// what it uses and ordered, whatever it was.
+func (w *worker) adopt(run carobrock.Run, step *carobrock.Step, now time.Time) {
+	if !w.inherited[run] || w.throttles[run] != nil {
+		return
+	}
+	delete(w.inherited, run)
+	pace := 100
+	used := float64(w.listed[run].MilliCPU) / float64(max(1, step.Size.MilliCPU))
+	if used < quietUse*burstUse {
+		pace = int(100 * used / quietUse)
+	}
+	t := &throttle{percent: pace, before: pace, orderedAt: now}
+	if pace <= slowPace {
+		t.slowSince = now
+	}
+	w.throttles[run] = t
+}
+
 // hasNewPaces reports whether a pace waits to be sent for the first time.
 func (w *worker) hasNewPaces() bool {
 	for _, t := range w.throttles {
--- a/internal/dispatcher/turn.go
+++ b/internal/dispatcher/turn.go
@@ -9,6 +9,7 @@
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/pacer"
 	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
@@ -25,6 +26,9 @@
 	// silentAfter is how long after its last heartbeat a worker gets no more
 	// tasks: a few times the usual time between two.
 	silentAfter = 600 * time.Millisecond
+	// recordLearned is the time between records of what was learned: what a new
+	// leader misses is learned again within about as long.
+	recordLearned = 2 * time.Second
 	// serviceLoad is the share of its request that a service task is taken to
 	// use; its use is not reported.
 	serviceLoad = 0.55
@@ -100,7 +104,11 @@
 			d.dropAdvice(now)
 		}
 	})
-	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 {
+	if now.Sub(d.learnedAt) >= recordLearned {
+		d.learnedAt = now
+		c.Learned = pacer.Export(&d.model, &d.rest)
+	}
+	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 && c.Learned == nil {
 		return nil
 	}
 	return c
@@ -182,7 +190,7 @@
 		}
 		if l := s.Lives[r.WorkerLife]; l != nil {
 			v.Services = w.services(&d.rest, now)
-			d.count(v, w, l, now)
+			d.count(v, w, l)
 		}
 		out = append(out, v)
 	}
@@ -191,9 +199,9 @@
 	return out
 }
 
-// count takes what runs on a worker off its amounts. Fillers that the reported
-// tails do not contain yet are added to these.
-func (d *Dispatcher) count(v *allocator.Worker, w *worker, l *bookkeeper.Life, now time.Time) {
+// count takes what runs on a worker off its amounts. Fillers add to the
+// loads of services what they press at their full pace.
+func (d *Dispatcher) count(v *allocator.Worker, w *worker, l *bookkeeper.Life) {
 	for run, step := range l.Runs {
 		v.Free = v.Free.Sub(step.Committed())
 		v.SpareMilliCPU -= expectedUse(step)
@@ -203,10 +211,10 @@
 		if !step.Filler {
 			continue
 		}
-		f := w.filler(run, step, now)
+		f := w.filler(run, step)
 		for i := range v.Services {
 			x := &v.Services[i]
-			x.Load += d.model.Pressure(x.Image, f.Image) * f.Share * (1 - f.Felt*float64(f.Pace)/100)
+			x.Load += d.model.Pressure(x.Image, f.Image) * f.Share
 		}
 	}
 }
@@ -240,8 +248,8 @@
 					if r.Step.Filler && !full && age > freshMillis {
 						continue
 					}
-					u, earns := urgencyOf(j, o, k, i, at)
-					r.MaxRisk = firstRisk[earns] + riskPerSecond*float64(age/1000)
+					u, _ := urgencyOf(j, o, k, i, at)
+					r.MinPace = minPace
 					order[r.Step] = u
 					if j.Queue.Policy != nil {
 						d.admit(&r, j.Queue.Policy, view, now)
@@ -251,10 +259,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(out, func(a, b allocator.Request) int {
-		x, y := order[a.Step], order[b.Step]
-		return cmp.Or(cmp.Compare(x.class, y.class), cmp.Compare(x.slackMillis, y.slackMillis))
-	})
+	slices.SortStableFunc(out, func(a, b allocator.Request) int { return order[a.Step].compare(order[b.Step]) })
 	return out
 }
 
@@ -263,10 +268,33 @@
 	// class is -1 for services, else it follows the queue's priority and what a
 	// job can still earn.
 	class int
+	// isBegun is set if a task of the job has run.
+	isBegun bool
 	// slackMillis is how much later the job could go on and still be in time.
 	slackMillis int64
 }
 
+// compare orders urgencies. What was begun is finished first, the least slack
+// before the rest. What was not begun goes by the most slack: when more comes
+// than can be done, the oldest first would leave every job just too late
+// (Buttazzo et al. 1995 show that of the earliest deadline first).
+func (u urgency) compare(o urgency) int {
+	begun := func(u urgency) int {
+		if u.isBegun {
+			return 0
+		}
+		return 1
+	}
+	c := cmp.Or(cmp.Compare(u.class, o.class), cmp.Compare(begun(u), begun(o)))
+	if c != 0 {
+		return c
+	}
+	if u.isBegun {
+		return cmp.Compare(u.slackMillis, o.slackMillis)
+	}
+	return cmp.Compare(o.slackMillis, u.slackMillis)
+}
+
 // What a job can still earn.
 const (
 	inTime = iota
@@ -297,7 +325,7 @@
 	case done <= lateFactor*objective:
 		earns = late
 	}
-	return urgency{class: j.Queue.Priority*earnings + earns, slackMillis: objective - done}, earns
+	return urgency{class: j.Queue.Priority*earnings + earns, isBegun: j.State == carobrock.JobRunning, slackMillis: objective - done}, earns
 }
 
 // chainMillis returns the longest chain of estimated work among the steps that
@@ -318,13 +346,9 @@
 	return longest
 }
 
-// The risk for services at which a filler is placed, by what its job can still
-// earn, and by how much it grows while the job waits: work that finds no good
-// place is not put off for ever, and the pacer watches over it.
-var (
-	firstRisk     = [earnings]float64{inTime: 0.15, late: 0.1, expired: 0.05}
-	riskPerSecond = 0.005
-)
+// minPace is the share of its full pace at which a filler must be able to work
+// where it is placed: a slower one would hold memory for long.
+const minPace = 1.0
 
 // freshMillis is the age up to which a job's fillers are placed in every turn.
 const freshMillis = 500
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -32,6 +32,9 @@
 	// waiting is not nil while the heartbeat waits for orders; closing it ends
 	// the wait.
 	waiting chan struct{}
+	// inherited holds the runs that another leader started: the paces that it
+	// ordered are not known.
+	inherited map[carobrock.Run]bool
 	// record counts how runs ended lately.
 	record record
 	// progress tells when each run was last seen to advance.
@@ -62,7 +65,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, unwanted: map[carobrock.Run]string{},
-		throttles: map[carobrock.Run]*throttle{}, offered: map[carobrock.Run]bool{}, withdrawn: map[carobrock.Run]bool{}, samples: map[carobrock.Run]*sample{},
+		throttles: map[carobrock.Run]*throttle{}, inherited: map[carobrock.Run]bool{}, offered: map[carobrock.Run]bool{}, withdrawn: map[carobrock.Run]bool{}, samples: map[carobrock.Run]*sample{},
 	}
 }
 
@@ -74,7 +77,6 @@
 	for i := range r.Ends {
 		w.ended[carobrock.Run{Task: r.Ends[i].Task, Attempt: r.Ends[i].Attempt}] = true
 	}
-	clear(w.offered)
 	seen := make(map[carobrock.Run]progress, len(r.Running))
 	since := make(map[carobrock.Run]time.Time, len(r.Running))
 	for i := range r.Running {
@@ -89,8 +91,10 @@
 			since[x.Run] = t
 		} else {
 			since[x.Run] = now
+			w.inherited[x.Run] = !w.offered[x.Run]
 		}
 	}
+	clear(w.offered)
 	w.progress, w.since = seen, since
 	for run := range w.unwanted {
 		if w.listed[run] == nil {
@@ -102,6 +106,11 @@
 			delete(w.throttles, run)
 		}
 	}
+	for run := range w.inherited {
+		if w.listed[run] == nil {
+			delete(w.inherited, run)
+		}
+	}
 }
 
 // stallTime is how long a run may stand still at full pace. A task that gets a
--- a/internal/pacer/model.go
+++ b/internal/pacer/model.go
@@ -3,19 +3,24 @@
 import "math"
 
 const (
+	// QuietIntensity is how hard a filler presses between its bursts, as a part of
+	// what it does in one: fillers that were set beside single services in a trial
+	// pressed with a fifth to a third.
+	QuietIntensity = 0.25
+
 	// priorPressure is the factor of a pair of which nothing is known, between
-	// those of light and of heavy pairs.
-	priorPressure = 0.8
+	// those of light pairs, about 0.2, and of heavy ones, 3 to 5.
+	priorPressure = 1.8
 	// priorSpread is the standard deviation of factors over pairs.
-	priorSpread = 1.0
+	priorSpread = 1.8
 	// noise is the standard deviation of the difference of two reported loads
 	// about the model, crowdedNoise the one near full load, where a queue takes
 	// its time to build up.
 	noise        = 0.07
 	crowdedNoise = 0.25
-	// hopeSpreads is how many standard deviations below its estimate a pressure
-	// is hoped to be.
-	hopeSpreads = 0.5
+	// cautionSpreads is how many standard deviations above its estimate a pressure
+	// is reckoned with.
+	cautionSpreads = 0.5
 	// forgetting lets the past fade: an estimate rests on about the last 2000
 	// observations.
 	forgetting = 1.0 / 2000
@@ -37,11 +42,12 @@
 	cov  [][]float64
 }
 
-// Shares are the parts of a VM's processors that fillers use, by image.
+// Shares are the parts of a VM's processors that fillers use, by image, each
+// weighted with how hard the filler presses.
 type Shares map[string]float64
 
 // Pressure returns by how much the load of a service task grows if fillers of
-// an image use the whole VM. It is never negative.
+// an image use the whole VM in a burst. It is never negative.
 func (m *Model) Pressure(service, filler string) float64 {
 	e := m.services[service]
 	i := m.fillers[filler]
@@ -51,16 +57,15 @@
 	return e.mean[i-1]
 }
 
-// Hope returns an optimistic estimate of Pressure: a pair of which little is
-// known is tried rather than avoided for ever, as the upper confidence bound
-// rule of Lai and Robbins (1985) has it.
-func (m *Model) Hope(service, filler string) float64 {
+// Caution returns an upper estimate of Pressure, the higher the less is known of
+// the pair.
+func (m *Model) Caution(service, filler string) float64 {
 	e := m.services[service]
 	i := m.fillers[filler]
 	if e == nil || i == 0 || i > len(e.mean) {
-		return math.Max(0, priorPressure-hopeSpreads*priorSpread)
+		return priorPressure + cautionSpreads*priorSpread
 	}
-	return math.Max(0, e.mean[i-1]-hopeSpreads*math.Sqrt(e.cov[i-1][i-1]))
+	return e.mean[i-1] + cautionSpreads*math.Sqrt(e.cov[i-1][i-1])
 }
 
 // Observe takes the difference between the loads of two tasks of one service
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -6,13 +6,10 @@
 type Service struct {
 	// Image names what the task runs.
 	Image string
-	// Load is its load, Limit the load at which its tail latency reaches the
-	// target.
+	// Load is its load without the pressure of the fillers that are looked at,
+	// Limit the load at which its tail latency reaches the target.
 	Load  float64
 	Limit float64
-	// Easing is set while the tail falls: what queued up before is being worked
-	// off, and the load is lower than the tail tells.
-	Easing bool
 	// Overdue is set once the tail has been above the target for a while: what
 	// is known of the fillers beside it has not helped, so all of them are
 	// stopped until it is below.
@@ -27,19 +24,17 @@
 	Share float64
 	// Pace is its present pace, 0 to 100.
 	Pace int
-	// Felt is how much of its present pace the reported tails contain, 0 for a
-	// filler that has just started, to 1.
-	Felt float64
 }
 
-// Margins of the load below its limit.
+// Margins of the expected load below its limit. The load is expected as if all
+// fillers were in a burst at once, which they seldom are.
 const (
-	// lowerMargin is where fillers are slowed: the tail is then about five
-	// sixths of the target.
-	lowerMargin = 0.03
-	// raiseMargin is where they are let go again. The gap between the two keeps
-	// paces from swinging with the noise of the tails.
-	raiseMargin = 0.07
+	// lowerMargin is where fillers are slowed.
+	lowerMargin = -0.02
+	// raiseMargin is where they are let go again, and up to where new ones are
+	// placed. The gap between the two keeps paces from swinging with the noise of
+	// the tails.
+	raiseMargin = 0.01
 	// minEffect is the least growth of the load for which a filler is slowed at
 	// all: many light fillers press as much as a heavy one.
 	minEffect = 0.005
@@ -77,15 +72,12 @@
 	excess := make([]float64, len(services))
 	for s := range services {
 		excess[s] = services[s].Load - services[s].Limit + margin
-		if services[s].Easing {
-			excess[s] = min(excess[s], 0)
+		for f := range fillers {
+			excess[s] += effect[s][f]
 		}
 		if services[s].Overdue {
 			excess[s] = math.Inf(1)
 		}
-		for f := range fillers {
-			excess[s] += effect[s][f] * (1 - fillers[f].Felt*float64(fillers[f].Pace)/100)
-		}
 	}
 	pace := make([]float64, len(fillers))
 	for f := range pace {
@@ -154,30 +146,19 @@
 	return at
 }
 
-// Risk returns how much a new filler presses on services without room for it, in
-// units of about one service task brought above its target: next to nothing far
-// below the limits, and in proportion to the pressure above them. The soft step
-// between the two stands for the noise of the loads and for their changes while
-// the filler runs.
-func Risk(m *Model, services []Service, filler Filler) float64 {
-	sum := 0.0
+// Use returns which part a new filler at full pace uses of the room that the
+// services leave below their limits: up to 1 it harms none of them. Where little
+// is known of a pair, its pressure is taken to be higher than estimated: what
+// harms is found out where there is room for it.
+func Use(m *Model, services []Service, filler Filler) (use float64) {
 	for i := range services {
 		s := &services[i]
-		if s.Overdue {
+		effect := m.Caution(s.Image, filler.Image) * filler.Share
+		room := s.Limit - raiseMargin - s.Load
+		if s.Overdue || room <= 0 {
 			return math.Inf(1)
 		}
-		over := s.Load - s.Limit + lowerMargin
-		sum += softStep(over+m.Hope(s.Image, filler.Image)*filler.Share) - softStep(over)
+		use = max(use, effect/room)
 	}
-	return sum
-}
-
-// riskWidth is the width of the soft step in load: about the change of a
-// service's load within the run time of a filler.
-const riskWidth = 0.07
-
-// softStep is the softplus function: zero far below zero, x / riskWidth far
-// above it.
-func softStep(x float64) float64 {
-	return math.Log1p(math.Exp(x / riskWidth))
+	return use
 }
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -30,6 +30,8 @@
 	Waves []MaintenanceWave `cbor:"9,keyasint,omitempty"`
 	// Maintained records machines whose maintenance has begun.
 	Maintained []MachineMaintenance `cbor:"10,keyasint,omitempty"`
+	// Learned replaces what is known of interference.
+	Learned *Interference `cbor:"13,keyasint,omitempty"`
 	// AtUnixMillis is the leader's wall-clock time, from which the retention of
 	// ended jobs counts.
 	AtUnixMillis int64 `cbor:"11,keyasint,omitempty"`
