--- a/internal/replicator/handover_test.go
+++ b/internal/replicator/handover_test.go
@@ -87,7 +87,7 @@
 		c := newCluster(t, 1, 3)
 		defer c.stop()
 		nd := c.leader()
-		r, k := nd.parts()
+		r, _ := nd.parts()
 		for _, other := range c.others(nd) {
 			c.setLink(nd, other, true)
 		}
@@ -101,7 +101,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
 		for ctx.Err() == nil {
-			r, k = c.leader().parts()
+			r, k := c.leader().parts()
 			if _, err := put(ctx, r, "change", k.Routes().Version, "row"); err == nil {
 				return
 			}
