--- a/cmd/carobrock/main_test.go
+++ b/cmd/carobrock/main_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,13 +37,29 @@
 	})
 }
 
+// Ports of the tests' processes are below those that the kernel gives to outgoing
+// connections: one of these could take the port of a process that restarts.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
+// nextPort is the next port to try; test processes begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+
 // freeAddresses returns loopback addresses with ports that were free just now.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
 		if err != nil {
-			return nil, err
+			if tries > lastPort-firstPort {
+				return nil, err
+			}
+			continue
 		}
 		defer func() { _ = l.Close() }()
 		out = append(out, l.Addr().String())
