Newcomers catch up in time; relays on VMs without a disk

At the other site only one of two VMs with a disk in each zone ran a replica: three for a tolerance of two. Ruled out: the group's size (five voters were seated before the traffic).

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/launcher"
 	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/sleeper"
@@ -57,6 +58,7 @@
 
 	gateway   *launcher.JobGateway
 	replica   *launcher.JobReplica
+	relay     *launcher.JobRelay
 	endpoints []*launcher.Endpoint
 }
 
@@ -68,11 +70,11 @@
 		n.add("readiness", s.ReadyAddress, &platform.Ready{IsReady: n.gateway.Jobs.IsReady})
 	}
 	if s.ServesControl {
-		var err error
-		if n.replica, err = launcher.NewJobReplica(s, n.log); err != nil {
+		control, err := n.openControl()
+		if err != nil {
 			return err
 		}
-		n.add("control", s.ControlAddress, (&platform.Control{Jobs: n.replica.Control, Logger: n.log}).Handler())
+		n.add("control", s.ControlAddress, (&platform.Control{Jobs: control, Logger: n.log}).Handler())
 	}
 	for _, e := range n.endpoints {
 		if err := e.Open(); err != nil {
@@ -82,6 +84,21 @@
 	return nil
 }
 
+// openControl opens a replica, or a relay on a VM without a disk.
+func (n *node) openControl() (carobrock.JobControl, error) {
+	var err error
+	if n.settings.DataDir == "" {
+		if n.relay, err = launcher.NewJobRelay(n.settings, n.log); err != nil {
+			return nil, err
+		}
+		return n.relay.Control, nil
+	}
+	if n.replica, err = launcher.NewJobReplica(n.settings, n.log); err != nil {
+		return nil, err
+	}
+	return n.replica.Control, nil
+}
+
 func (n *node) add(name, address string, h http.Handler) {
 	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h})
 }
@@ -96,7 +113,7 @@
 )
 
 func (n *node) run(ctx context.Context) error {
-	n.log.Info().Str("node", n.settings.Node).Bool("gateway", n.gateway != nil).Bool("control", n.replica != nil).
+	n.log.Info().Str("node", n.settings.Node).Bool("gateway", n.gateway != nil).Bool("replica", n.replica != nil).Bool("relay", n.relay != nil).
 		Bool("firstStart", n.settings.FirstStart).Str("version", version).Msg("node: started")
 	serving, stopServing := context.WithCancel(context.Background())
 	running, stopRunning := context.WithCancel(context.Background())
@@ -110,6 +127,9 @@
 	if n.gateway != nil {
 		backs.Go(n.gateway.Run)
 	}
+	if n.relay != nil {
+		backs.Go(n.relay.Run)
+	}
 	if n.replica != nil {
 		backs.Go(func(ctx context.Context) error {
 			err := n.replica.Run(ctx)
@@ -186,6 +206,9 @@
 		if n.replica != nil {
 			n.replica.SetSeeds(s.Seeds)
 		}
+		if n.relay != nil {
+			n.relay.SetSeeds(s.Seeds)
+		}
 		n.log.Info().Strs("seeds", s.Seeds).Bool("signal", forced).Msg("node: settings reloaded")
 	}
 }
--- /dev/null
+++ b/internal/launcher/relay.go
@@ -0,0 +1,55 @@
+package launcher
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/locator"
+	"github.com/carobrock/carobrock/internal/messenger"
+	"github.com/carobrock/carobrock/internal/recruiter"
+	"github.com/carobrock/carobrock/internal/replicator"
+)
+
+// JobRelay serves workers and operators on a VM without a disk: it holds no
+// replica and carries their calls to the leader.
+type JobRelay struct {
+	// Control reaches the leader.
+	Control carobrock.JobControl
+
+	messenger *messenger.Messenger
+	locator   *locator.Locator
+	watch     *recruiter.Watch
+}
+
+// NewJobRelay opens the peer listener. It fails with ErrSettings.
+func NewJobRelay(s *NodeSettings, logger zerolog.Logger) (*JobRelay, error) {
+	peers, err := listen("peer address", s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	ms := &messenger.Messenger{Listener: peers, Logger: logger}
+	finder := &locator.Locator{Caller: ms, Logger: logger}
+	finder.SetSeeds(s.Seeds)
+	self := &encoder.Member{Name: s.Name, Address: s.PeerAddress}
+	ms.Handlers = locator.Refusals(finder)
+	ms.OnMessage = func(m *encoder.Message) { replicator.AnswerSeatless(ms, self, m) }
+	ms.Prepare()
+	return &JobRelay{
+		Control: finder, messenger: ms, locator: finder, watch: &recruiter.Watch{Caller: ms, Locator: finder},
+	}, nil
+}
+
+// SetSeeds replaces the seeds.
+func (j *JobRelay) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
+
+// Run runs the relay until ctx ends.
+func (j *JobRelay) Run(ctx context.Context) error {
+	parts := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	parts.Go(j.messenger.Run)
+	parts.Go(j.watch.Run)
+	return parts.Wait()
+}
--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -41,6 +41,18 @@
 	return "locator: this replica does not lead, " + e.Leader + " does"
 }
 
+// Refusals refuses every call with the name of the leader, for a process without
+// a replica.
+func Refusals(l *Locator) map[string]messenger.Handler {
+	out := map[string]messenger.Handler{}
+	for method := range Handlers(nil) {
+		out[method] = func(context.Context, []byte) ([]byte, error) {
+			return nil, &messenger.RemoteError{Code: CodeNotLeader, Text: l.Leader()}
+		}
+	}
+	return out
+}
+
 // Handlers offers control, which is the leader's or refuses with a
 // NotLeaderError, to other processes.
 func Handlers(control carobrock.JobControl) map[string]messenger.Handler {
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -80,6 +80,13 @@
 	return slices.Clone(l.known)
 }
 
+// Leader returns the leader's address, empty if none is known.
+func (l *Locator) Leader() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leader
+}
+
 // next returns the leader if one is known, else the address for try i.
 func (l *Locator) next(i int) string {
 	l.mu.Lock()
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -42,8 +42,10 @@
 	// sent again after a heartbeat interval without an answer.
 	inFlight bool
 	sentAt   time.Time
-	// snapshot is set while the unanswered message is a snapshot.
+	// snapshot is set while the unanswered message is a snapshot; bytes is the
+	// size of the entries in an unanswered append.
 	snapshot bool
+	bytes    int
 	// ackedRound is the newest round that the member has answered.
 	ackedRound uint64
 	// heardAt is when the member's last answer came, at first when the leader
--- a/internal/replicator/core_test.go
+++ b/internal/replicator/core_test.go
@@ -204,3 +204,67 @@
 		t.Errorf("term at 2 = %d, want 6", term)
 	}
 }
+
+// A large append that was sent again before its member could answer it kept a
+// slow newcomer busy for ever.
+func TestPatienceGrowsWithTheAppend(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		bytes int
+		after time.Duration
+		again bool
+	}{
+		{name: "small, answer due", bytes: 100, after: 250 * time.Millisecond, again: true},
+		{name: "small, still on its way", bytes: 100, after: 150 * time.Millisecond},
+		{name: "large, still at work", bytes: maxAppendBytes / 2, after: 250 * time.Millisecond},
+		{name: "large, lost", bytes: maxAppendBytes / 2, after: 1100 * time.Millisecond, again: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newTestCore(t)
+			c.campaign(testStart, false)
+			for id := uint64(2); id <= 3; id++ {
+				c.votes[id] = true
+			}
+			c.countVotes(testStart)
+			answerAppend(c, 2, c.log.last())
+			c.propose(encoder.EntryKind_ENTRY_KIND_COMMAND, [][]byte{make([]byte, test.bytes)})
+			c.flush(testStart)
+			c.early = nil
+			c.sendAppend(testStart.Add(test.after), 2)
+			if got := len(c.early[0].GetEntries()) > 0; got != test.again {
+				t.Errorf("entries sent again: %t, want %t", got, test.again)
+			}
+		})
+	}
+}
+
+// A process without a replica is named as an initial member: the others form the
+// group without it.
+func TestSeatlessMemberIsLeftOut(t *testing.T) {
+	a := &encoder.Member{Name: "a", Address: "a0"}
+	c := newTestCore(t)
+	c.self = &encoder.Member{Id: 7, Name: "b", Address: "b0"}
+	c.term, c.log, c.members = 0, entryLog{}, &encoder.Members{}
+	c.unsaved = nil
+	c.chart.State = string(roleForming)
+	c.initial = []*encoder.Member{a, {Name: "b", Address: "b0"}, {Name: "c", Address: "c0"}}
+	c.onProbeAnswer(testStart, &encoder.Message{Sender: &encoder.Member{Id: 8, Name: "c", Address: "c0"}, Fresh: true})
+	if c.role() != roleForming {
+		t.Fatal("formed before the first member answered")
+	}
+	var sent *encoder.Message
+	AnswerSeatless(linkFunc(func(_ string, m *encoder.Message) { sent = m }), a, &encoder.Message{
+		Kind: encoder.MessageKind_MESSAGE_KIND_PROBE, From: 7, Sender: c.self,
+	})
+	c.step(testStart, sent)
+	if c.role() == roleForming {
+		t.Fatal("not formed after all members answered")
+	}
+	if got := len(c.members.GetMembers()); got != 2 {
+		t.Errorf("%d members, want 2", got)
+	}
+}
+
+type linkFunc func(address string, m *encoder.Message)
+
+func (f linkFunc) Send(address string, m *encoder.Message) { f(address, m) }
--- a/internal/replicator/formation.go
+++ b/internal/replicator/formation.go
@@ -5,13 +5,14 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
 // A group is formed once. The replica with the lowest name among the initial
 // members asks all of them who they are. If, and only if, every one of them has
 // never held any state, it writes the first membership, with the incarnations
-// that it was told. So a replica that has lost its disk never forms a second
+// that it was told. Those that answer that they hold no seat are left out. So a replica that has lost its disk never forms a second
 // group beside the first: the others are not fresh.
 
 // isFresh reports whether this replica has never held any state.
@@ -63,6 +64,9 @@
 	}
 	ms := &encoder.Members{}
 	for _, want := range c.initial {
+		if c.isSeatless(want) {
+			continue
+		}
 		if want.GetName() < c.self.GetName() {
 			return
 		}
@@ -84,6 +88,25 @@
 	c.campaign(now, true)
 }
 
+// isSeatless reports whether an initial member has answered that it is a process
+// without a replica.
+func (c *core) isSeatless(want *encoder.Member) bool {
+	m := c.seen[want.GetAddress()]
+	return m != nil && m.GetSender().GetName() == want.GetName() && m.GetSender().GetId() == 0
+}
+
+// AnswerSeatless answers a replica's question who is there for a process without
+// a replica. Other messages are dropped.
+func AnswerSeatless(link carobrock.Link, self *encoder.Member, m *encoder.Message) {
+	if m.GetKind() != encoder.MessageKind_MESSAGE_KIND_PROBE {
+		return
+	}
+	link.Send(m.GetSender().GetAddress(), &encoder.Message{
+		Kind: encoder.MessageKind_MESSAGE_KIND_PROBE_ANSWER, To: m.GetFrom(), ToAddress: m.GetSender().GetAddress(),
+		Sender: &encoder.Member{Name: self.GetName(), Address: self.GetAddress()},
+	})
+}
+
 // freshMember returns the initial member want with its incarnation, or nil if
 // it has not answered or is not fresh.
 func (c *core) freshMember(want *encoder.Member) *encoder.Member {
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -165,7 +165,7 @@
 	if err := r.Machine.Restore(s.GetIndex(), s.GetData()); err != nil {
 		return err
 	}
-	r.snapshot = s
+	r.snapshot, r.appliedBytes = s, 0
 	r.applied, r.appliedTerm = s.GetIndex(), s.GetTerm()
 	r.watch.advance(r.applied)
 	r.Logger.Info().Uint64("index", s.GetIndex()).Msg("replica: snapshot installed")
@@ -206,6 +206,7 @@
 			value = r.Machine.Apply(index, e.GetData())
 		}
 		r.applied, r.appliedTerm = index, e.GetTerm()
+		r.appliedBytes += len(e.GetData())
 		r.answerProposal(index, e.GetTerm(), value)
 	}
 	r.watch.advance(r.applied)
@@ -257,7 +258,7 @@
 // compact takes a snapshot if enough was applied since the last one.
 func (r *Replica) compact() error {
 	c := r.core
-	if r.applied-r.snapshot.GetIndex() < r.SnapshotEvery {
+	if r.applied-r.snapshot.GetIndex() < r.SnapshotEvery && r.appliedBytes < r.SnapshotBytes {
 		return nil
 	}
 	data, err := r.Machine.Snapshot()
@@ -269,7 +270,7 @@
 	if err := r.Journal.SaveSnapshot(s, r.hardState(), keep); err != nil {
 		return err
 	}
-	r.snapshot = s
+	r.snapshot, r.appliedBytes = s, 0
 	if s.GetIndex() > c.log.baseIndex+r.TrailingEntries {
 		cut := s.GetIndex() - r.TrailingEntries
 		c.baseMembers = c.membersAt(cut)
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -66,6 +66,10 @@
 	MaxDrift time.Duration
 	// SnapshotEvery is the number of entries between snapshots. Zero: 5000.
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of the entries after which a snapshot is taken
+	// though they are fewer than SnapshotEvery: it bounds what a member that comes
+	// back, or a new one, has to take in. Zero: 4 MiB.
+	SnapshotBytes int
 	// TrailingEntries stay in memory behind a snapshot for members that lag.
 	// Zero: 2000.
 	TrailingEntries uint64
@@ -91,10 +95,12 @@
 	core        *core
 	applied     uint64
 	appliedTerm uint64
-	waiters     map[uint64]*proposal
-	pending     []*confirmation
-	snapshot    *encoder.Snapshot
-	lastRole    role
+	// appliedBytes is the size of the entries applied since the last snapshot.
+	appliedBytes int
+	waiters      map[uint64]*proposal
+	pending      []*confirmation
+	snapshot     *encoder.Snapshot
+	lastRole     role
 	// handingOver is set while a successor is looked for: nothing more is taken in.
 	handingOver bool
 	watch       appliedWatch
@@ -181,6 +187,9 @@
 	if r.SnapshotEvery == 0 {
 		r.SnapshotEvery = 5000
 	}
+	if r.SnapshotBytes == 0 {
+		r.SnapshotBytes = 4 << 20
+	}
 	if r.TrailingEntries == 0 {
 		r.TrailingEntries = 2000
 	}
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -71,7 +71,7 @@
 	if !p.inFlight {
 		m.Entries = c.log.slice(p.next, c.log.last(), maxAppendBytes)
 		p.inFlight = len(m.Entries) > 0
-		p.sentAt = now
+		p.sentAt, p.bytes = now, entryBytes(m.GetEntries())
 	}
 	c.early = append(c.early, m)
 }
@@ -91,14 +91,25 @@
 	if p.snapshot {
 		return snapshotBeats * c.beat
 	}
-	return appendBeats * c.beat
+	return time.Duration(appendBeats+p.bytes/bytesPerBeat) * c.beat
 }
 
 const (
 	appendBeats   = 2  // heartbeat intervals
 	snapshotBeats = 30 // heartbeat intervals
+	// bytesPerBeat is what a member takes in within a heartbeat interval at the
+	// least: decoding and writing on a small share of a processor. An append that
+	// is sent again before it can be answered only adds to its work.
+	bytesPerBeat = 64 << 10
 )
 
+func entryBytes(entries []*encoder.Entry) (n int) {
+	for _, e := range entries {
+		n += len(e.GetData())
+	}
+	return n
+}
+
 // sendSnapshot asks the runner to send the newest snapshot: core has no access
 // to the state machine, so the message goes out with an empty snapshot.
 func (c *core) sendSnapshot(now time.Time, id uint64, p *progress) {
