Dispatcher: a task no longer runs twice when its worker returns late

Change: losses are kept from their detection until they are committed, and the incarnations get no orders meanwhile; the placement loop alone proposes them. Proposals name the term that they belong to. A worker that hasn't reported that it is leaving is not removed; its leases expire.

Each has a test that failed first, in internal/dispatcher/takeover_test.go. Ruled out: leases counted from the wrong moment (counted from the arrival of the heartbeat, which is later than its sending), a lease published before the entries of earlier terms are applied, ends acknowledged before they are recorded.

Replicator: a replica that leads again after a transfer of its leadership accepts proposals (failed first: TestLeadsAgainAfterTransfer). Gatekeeper: the drain's wait for requests in flight is bounded (failed first: TestDrainIsBounded).

--- a/internal/dispatcher/batcher.go
+++ b/internal/dispatcher/batcher.go
@@ -76,7 +76,10 @@
 		if len(ws) == 0 {
 			continue
 		}
-		res, err := d.proposeCommand(ctx, c)
+		d.mu.Lock()
+		term := d.term
+		d.mu.Unlock()
+		res, err := d.proposeCommand(ctx, term, c)
 		for _, w := range ws {
 			w.done <- commitResult{result: res, err: err}
 		}
@@ -105,10 +108,10 @@
 const proposeTimeout = 5 * time.Second
 
 // proposeCommand commits a command and returns its result. It fails with a
-// *locator.NotLeaderError if this replica is not the leader, with
+// *locator.NotLeaderError if this replica is not the leader in the term, with
 // carobrock.ErrNotApplied if the command cannot be encoded, and with
 // carobrock.ErrOutcomeUnknown if it is unknown whether the command was committed.
-func (d *Dispatcher) proposeCommand(ctx context.Context, c *carobrock.JobCommand) (*carobrock.JobResult, error) {
+func (d *Dispatcher) proposeCommand(ctx context.Context, term uint64, c *carobrock.JobCommand) (*carobrock.JobResult, error) {
 	c.AtUnixMillis = d.Now().UnixMilli()
 	data, err := c.Encode()
 	if err != nil {
@@ -116,7 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	value, err := d.Leadership.Propose(ctx, data)
+	value, err := d.Leadership.Propose(ctx, term, data)
 	switch {
 	case errors.Is(err, replicator.ErrNotLeader):
 		return nil, &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -17,8 +17,9 @@
 
 // Leadership is the part of the replicated log that the dispatcher uses.
 type Leadership interface {
-	// Propose commits a command and returns the result of the state machine.
-	Propose(ctx context.Context, command []byte) (any, error)
+	// Propose commits a command and returns the result of the state machine. The
+	// command is not committed unless this replica is the leader in the given term.
+	Propose(ctx context.Context, term uint64, command []byte) (any, error)
 	// Term returns the current term, and whether this replica is the leader in that
 	// term and holds a lease that rules out any other leader.
 	Term() (uint64, bool)
@@ -75,12 +76,15 @@
 	mu sync.Mutex
 	// term is the term that workers belongs to; termStart is when this replica
 	// noticed that it leads in that term.
-	term       uint64
-	termStart  time.Time
-	workers    map[string]*worker // by name
-	nextChange chan struct{}      // closed at the next state change
-	model      pacer.Model        // interference between filler and service images
-	baseline   pacer.Baseline     // tail latencies of services without load
+	term      uint64
+	termStart time.Time
+	workers   map[string]*worker // by name
+	// losses holds the losses of worker incarnations from their detection until
+	// they are committed. The incarnations get no orders during that time.
+	losses     map[carobrock.WorkerIncarnation]carobrock.LostWorker
+	nextChange chan struct{}  // closed at the next state change
+	model      pacer.Model    // interference between filler and service images
+	baseline   pacer.Baseline // tail latencies of services without load
 	// adviceByStep holds the advisor's responses for each step.
 	adviceByStep map[carobrock.TaskRef]*advice
 	// modelRecordedAt is when the model was last written to the replicated state.
@@ -111,6 +115,7 @@
 	d.wakeup = make(chan struct{}, 1)
 	d.nextChange = make(chan struct{})
 	d.workers = map[string]*worker{}
+	d.losses = map[carobrock.WorkerIncarnation]carobrock.LostWorker{}
 	d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 	d.adviceByStep = map[carobrock.TaskRef]*advice{}
 	d.adviceRequests = make(chan adviceRequest, maxAdviceRequests)
@@ -165,6 +170,7 @@
 			w.releaseResponse()
 		}
 		d.workers = map[string]*worker{}
+		d.losses = map[carobrock.WorkerIncarnation]carobrock.LostWorker{}
 		d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 		d.StateMachine.View(func(s *bookkeeper.State) { d.model, d.baseline = pacer.Import(s.Interference) })
 		d.modelRecordedAt = d.termStart
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -13,6 +13,8 @@
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/dispatcher"
+	"github.com/carobrock/carobrock/internal/replicator"
+	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
 // commitTime is how long the fake log takes to commit.
@@ -27,19 +29,25 @@
 	index    uint64
 	term     uint64
 	isLeader bool
-	// extraDelay is added to the time of the next commit.
-	extraDelay time.Duration
+	// extraDelay is added to the time of the next commit, proposalDelay to the time
+	// before the next proposal reaches the log.
+	extraDelay    time.Duration
+	proposalDelay time.Duration
 }
 
-func (g *fakeLog) Propose(ctx context.Context, command []byte) (any, error) {
+func (g *fakeLog) Propose(ctx context.Context, term uint64, command []byte) (any, error) {
 	g.mu.Lock()
-	wait := commitTime + g.extraDelay
-	g.extraDelay = 0
+	commitDelay, proposalDelay := commitTime+g.extraDelay, g.proposalDelay
+	g.extraDelay, g.proposalDelay = 0, 0
 	g.mu.Unlock()
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	if err := sleeper.Sleep(ctx, proposalDelay); err != nil {
+		return nil, err
+	}
+	if current, isLeader := g.Term(); !isLeader || current != term {
+		return nil, replicator.ErrNotLeader
+	}
+	if err := sleeper.Sleep(ctx, commitDelay); err != nil {
+		return nil, err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -47,6 +55,27 @@
 	return g.stateMachine.Apply(g.index, command), nil
 }
 
+// setTerm makes this replica the leader of a later term.
+func (g *fakeLog) setTerm(term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term = term
+}
+
+// delayNextCommit delays the next commit by d.
+func (g *fakeLog) delayNextCommit(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.extraDelay = d
+}
+
+// delayNextProposal delays the next proposal by d before it reaches the log.
+func (g *fakeLog) delayNextProposal(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.proposalDelay = d
+}
+
 func (g *fakeLog) Term() (uint64, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -113,7 +113,7 @@
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		for incarnation := range s.Workers {
 			if incarnation.Name == r.Name && incarnation.Started < r.Started {
-				d.enqueueLoss(incarnation, nil, true)
+				d.addLoss(incarnation, nil, true)
 			}
 		}
 	})
@@ -126,7 +126,7 @@
 	d.removeWorker(w)
 	d.Logger.Info().Str("worker", w.report.Name).Int64("started", w.report.Started).Int("runs", len(w.reported)).
 		Str("reason", reason).Msg("dispatcher: worker incarnation ended")
-	d.enqueueLoss(w.report.WorkerIncarnation, w, true)
+	d.addLoss(w.report.WorkerIncarnation, w, true)
 }
 
 // removeWorker deletes a worker from the worker table and releases its delayed
@@ -141,18 +141,26 @@
 	}
 }
 
-// enqueueLoss adds the loss of a worker incarnation to the next command.
-// Checkpoints are included if w is not nil. incarnationEnded is set if the
-// incarnation itself has ended.
-func (d *Dispatcher) enqueueLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
-	lost := carobrock.LostWorker{Incarnation: incarnation, IncarnationEnded: incarnationEnded}
+// addLoss adds the loss of a worker incarnation, which the next placement round
+// proposes. Checkpoints are included if w is not nil. incarnationEnded is set if
+// the incarnation itself has ended. d.mu must be held.
+func (d *Dispatcher) addLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
+	lost := d.losses[incarnation]
+	lost.Incarnation = incarnation
+	lost.IncarnationEnded = lost.IncarnationEnded || incarnationEnded
 	if w != nil {
 		lost.Checkpoints = w.checkpoints()
+		w.releaseResponse()
 	}
-	d.batcher.addPart(func(c *carobrock.JobCommand) int {
-		c.Lost = append(c.Lost, lost)
-		return 0
-	})
+	d.losses[incarnation] = lost
+	d.wakePlacement()
+}
+
+// isBeingLost reports whether the loss of a worker incarnation is not committed
+// yet. d.mu must be held.
+func (d *Dispatcher) isBeingLost(incarnation carobrock.WorkerIncarnation) bool {
+	_, ok := d.losses[incarnation]
+	return ok
 }
 
 // checkpoints returns the newest reported checkpoint of each run on the worker.
@@ -251,14 +259,14 @@
 }
 
 // buildResponse returns the orders for a worker and extends its lease. The orders
-// are empty if a newer heartbeat has arrived or the loss of the worker is
-// proposed. It fails with a *locator.NotLeaderError if this replica is no longer
+// are empty if a newer heartbeat has arrived or the loss of the worker is being
+// committed. It fails with a *locator.NotLeaderError if this replica is no longer
 // the leader.
 func (d *Dispatcher) buildResponse(w *worker, r *carobrock.WorkerReport, received time.Time) (*carobrock.HeartbeatResponse, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w.report != r || w.isLossProposed {
-		return &carobrock.HeartbeatResponse{}, nil
+	if w.report != r || d.isBeingLost(r.WorkerIncarnation) {
+		return &carobrock.HeartbeatResponse{RetryMillis: heartbeatDelayMillis}, nil
 	}
 	response := &carobrock.HeartbeatResponse{
 		FencingToken: d.term, LeaseMillis: d.Settings.Lease.Milliseconds(), RetryMillis: heartbeatDelayMillis, NextAddress: d.WorkerAddress,
@@ -319,24 +327,20 @@
 	return !w.report.Leaving && !s.OutOfServiceZones[w.report.AvailabilityZone]
 }
 
-// RemoveWorker implements carobrock.JobControl.
-func (d *Dispatcher) RemoveWorker(ctx context.Context, name string) error {
+// RemoveWorker implements carobrock.JobControl. It ignores a worker that has not
+// reported that it is leaving: the call may be a late one of an earlier
+// incarnation. If such a worker has left all the same, its leases expire.
+func (d *Dispatcher) RemoveWorker(_ context.Context, name string) error {
 	if err := d.ensureLeader(); err != nil {
 		return err
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	w := d.workers[name]
-	if w == nil {
-		d.mu.Unlock()
+	if w == nil || !w.report.Leaving {
+		d.Logger.Info().Str("worker", name).Bool("known", w != nil).Msg("dispatcher: removal of a worker that is not leaving ignored")
 		return nil
 	}
-	d.removeWorker(w)
-	lost := carobrock.LostWorker{Incarnation: w.report.WorkerIncarnation, Checkpoints: w.checkpoints(), IncarnationEnded: true}
-	d.mu.Unlock()
-	d.Logger.Info().Str("worker", name).Msg("dispatcher: worker left")
-	_, _, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
-		c.Lost = append(c.Lost, lost)
-		return 0
-	})
-	return err
+	d.endIncarnation(w, "worker left")
+	return nil
 }
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -49,11 +49,11 @@
 		if sleeper.Sleep(ctx, minRoundPause) != nil || d.ensureLeader() != nil {
 			continue
 		}
-		c := d.planRound(time.Now())
+		c, term := d.planRound(time.Now())
 		if c == nil {
 			continue
 		}
-		if _, err := d.proposeCommand(ctx, c); err != nil {
+		if _, err := d.proposeCommand(ctx, term, c); err != nil {
 			d.Logger.Warn().Err(err).Int("assignments", len(c.Assign)).Msg("dispatcher: placement command failed or its outcome is unknown")
 			continue
 		}
@@ -69,11 +69,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range c.Lost {
-		w := d.workers[c.Lost[i].Incarnation.Name]
-		if w == nil || w.report.WorkerIncarnation != c.Lost[i].Incarnation {
-			continue
+		incarnation := c.Lost[i].Incarnation
+		if d.losses[incarnation].IncarnationEnded == c.Lost[i].IncarnationEnded {
+			delete(d.losses, incarnation)
+		}
+		if w := d.workers[incarnation.Name]; w != nil && w.report.WorkerIncarnation == incarnation {
+			d.removeWorker(w)
 		}
-		d.removeWorker(w)
 	}
 	for i := range c.Withdrawn {
 		if w := d.workers[c.Withdrawn[i].Incarnation.Name]; w != nil {
@@ -87,13 +89,17 @@
 	}
 }
 
-// planRound returns the command to commit in this round, nil if there is none.
-func (d *Dispatcher) planRound(now time.Time) *carobrock.JobCommand {
+// planRound returns the command to commit in this round, nil if there is none,
+// and the term in which it may be committed.
+func (d *Dispatcher) planRound(now time.Time) (*carobrock.JobCommand, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := &carobrock.JobCommand{}
 	d.StateMachine.View(func(s *bookkeeper.State) {
-		d.findLostWorkers(s, now, c)
+		d.findLostWorkers(s, now)
+		for _, lost := range d.losses {
+			c.Lost = append(c.Lost, lost)
+		}
 		d.withdrawUnstartedRuns(s, now, c)
 		d.releaseResponsesWithStops(s)
 		candidates := d.candidateWorkers(s, now)
@@ -112,32 +118,30 @@
 		c.Interference = pacer.Export(&d.model, &d.baseline)
 	}
 	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 && c.Interference == nil {
-		return nil
+		return nil, 0
 	}
-	return c
+	return c, d.term
 }
 
-// findLostWorkers adds to c the worker incarnations with runs whose leases have
-// all expired, and again those whose loss was proposed but not committed.
-func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
+// findLostWorkers adds the losses of the worker incarnations with runs whose
+// leases have all expired.
+func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time) {
 	inheritedExpiry := latestLeaseExpiry(d.termStart, d.Settings.MaxLease)
 	for incarnation, rec := range s.Workers {
-		if len(rec.Runs) == 0 {
+		if len(rec.Runs) == 0 || d.isBeingLost(incarnation) {
 			continue
 		}
 		w := d.workers[incarnation.Name]
 		if w == nil || w.report.WorkerIncarnation != incarnation {
 			if now.After(inheritedExpiry) {
 				d.Logger.Warn().Str("worker", incarnation.Name).Int("runs", len(rec.Runs)).Msg("dispatcher: worker sent no heartbeat in this term and its leases have expired; its runs are lost")
-				c.Lost = append(c.Lost, carobrock.LostWorker{Incarnation: incarnation})
+				d.addLoss(incarnation, nil, false)
 			}
 			continue
 		}
-		if w.isLossProposed || now.After(w.leaseExpiry) && now.After(inheritedExpiry) {
+		if now.After(w.leaseExpiry) && now.After(inheritedExpiry) {
 			d.Logger.Warn().Str("worker", incarnation.Name).Int("runs", len(rec.Runs)).Dur("silent", now.Sub(w.receivedAt)).Msg("dispatcher: worker is silent and its leases have expired; its runs are lost")
-			c.Lost = append(c.Lost, carobrock.LostWorker{Incarnation: incarnation, Checkpoints: w.checkpoints()})
-			w.isLossProposed = true
-			w.releaseResponse()
+			d.addLoss(incarnation, w, false)
 		}
 	}
 }
@@ -147,7 +151,7 @@
 func (d *Dispatcher) withdrawUnstartedRuns(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
 	for name, w := range d.workers {
 		rec := s.Workers[w.report.WorkerIncarnation]
-		if rec == nil || w.isLossProposed {
+		if rec == nil || d.isBeingLost(w.report.WorkerIncarnation) {
 			continue
 		}
 		silent := now.Sub(w.receivedAt) > silentAfter && w.pendingResponse == nil
@@ -185,7 +189,7 @@
 	out := make([]*allocator.Worker, 0, len(d.workers))
 	for _, w := range d.workers {
 		r := w.report
-		if w.isLossProposed || !d.mayStartRuns(s, w) || w.pendingResponse == nil && now.Sub(w.receivedAt) > silentAfter {
+		if d.isBeingLost(r.WorkerIncarnation) || !d.mayStartRuns(s, w) || w.pendingResponse == nil && now.Sub(w.receivedAt) > silentAfter {
 			continue
 		}
 		v := &allocator.Worker{
--- /dev/null
+++ b/internal/dispatcher/takeover_test.go
@@ -0,0 +1,97 @@
+package dispatcher_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
+)
+
+// leaseWithMargins is the time after which a leader gives up a silent worker.
+const leaseWithMargins = testLease*103/100 + 300*time.Millisecond
+
+// Guards against starting a run while its loss is being committed: a worker that
+// was silent since the election returned at that moment, was told to start the
+// run, and the run was then also started on another worker.
+func TestWorkerThatReturnsWhileItsLossIsCommittedStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+		h.must(a.sendHeartbeat())
+		h.submitJob("job", oneCoreStep(1))
+		time.Sleep(100 * time.Millisecond) // the task is assigned to a, which does not hear of it
+		h.log.setTerm(2)
+		_ = h.jobState("job") // makes the dispatcher notice the new term
+		time.Sleep(leaseWithMargins - 50*time.Millisecond)
+		h.log.delayNextCommit(40 * commitTime)
+		// The loss is proposed in the first placement round after the lease, and
+		// committed some 600 ms later.
+		time.Sleep(200 * time.Millisecond)
+		started := map[string]bool{}
+		for range 40 {
+			calls := conc.NewWaitGroup()
+			calls.Go(func() { h.must(a.sendHeartbeat()) })
+			calls.Go(func() { h.must(b.sendHeartbeat()) })
+			calls.Wait()
+			for _, run := range append(a.runNames(), b.runNames()...) {
+				started[run] = true
+			}
+		}
+		if len(started) != 1 {
+			t.Errorf("runs %v started, want one, as no run failed", started)
+		}
+	})
+}
+
+// Guards against ending the runs of a worker because of a late message from an
+// earlier worker process of the same name. A worker reports that it is leaving
+// before it leaves.
+func TestLateFarewellOfAnEarlierLifeEndsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+		h.must(a.sendHeartbeat())
+		h.submitJob("job", oneCoreStep(1))
+		a.sendHeartbeatsFor(300 * time.Millisecond)
+		h.must(h.d.RemoveWorker(context.Background(), "a"))
+		for range 10 {
+			h.must(b.sendHeartbeat())
+			h.must(a.sendHeartbeat())
+		}
+		if got := append(a.runNames(), b.runNames()...); !cmp.Equal(got, []string{"job.0#1"}) {
+			t.Errorf("runs %v, want only the first one on worker a", got)
+		}
+	})
+}
+
+// Guards against committing a command that was planned in an earlier term. Between
+// the two terms another leader may have renewed the lease of a worker that the
+// command declares lost.
+func TestCommandOfAnEarlierTermIsNotCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+		h.must(a.sendHeartbeat())
+		h.submitJob("job", oneCoreStep(1))
+		a.sendHeartbeatsFor(300 * time.Millisecond)
+		// The command that declares the loss is held up until this replica has lost
+		// leadership and regained it.
+		time.Sleep(leaseWithMargins - 250*time.Millisecond) // the last heartbeat was sent some 140 ms ago
+		h.log.delayNextProposal(time.Second)
+		time.Sleep(300 * time.Millisecond)
+		h.log.setTerm(3)
+		for range 20 {
+			h.must(b.sendHeartbeat())
+			h.must(a.sendHeartbeat())
+		}
+		if got := append(a.runNames(), b.runNames()...); !cmp.Equal(got, []string{"job.0#1"}) {
+			t.Errorf("runs %v, want only the first one on worker a", got)
+		}
+	})
+}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -28,9 +28,6 @@
 	// withdrawalProposed holds the runs whose withdrawal is proposed. They are not
 	// started any more, even if the proposal fails.
 	withdrawalProposed map[carobrock.Run]bool
-	// isLossProposed is set once the loss of the worker's runs has been proposed.
-	// From then on the worker gets no orders, even if the proposal fails.
-	isLossProposed bool
 	// pendingResponse is non-nil while the response to a heartbeat is delayed until
 	// there are orders; closing it releases the response.
 	pendingResponse chan struct{}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -26,8 +26,7 @@
 	// DefaultDrainDelay is how long a gateway accepts new connections after a stop
 	// was requested, so that the load balancer can take it out of rotation.
 	DefaultDrainDelay = 2 * time.Second
-	// drainTimeout bounds the shutdown of the callers' server. It does not bound the
-	// wait until the number of requests in flight is zero.
+	// drainTimeout bounds the wait for the requests in flight.
 	drainTimeout      = 10 * time.Minute
 	readHeaderTimeout = 5 * time.Second
 	callerIdleTimeout = 60 * time.Second
@@ -202,8 +201,8 @@
 	return err
 }
 
-// drain waits for DrainDelay and then until all requests are finished, and releases
-// the grants. It returns early if forceStop is closed.
+// drain waits for DrainDelay and then until all requests are finished, at most for
+// drainTimeout, and releases the grants. It returns early if forceStop is closed.
 func (g *Gateway) drain(callerServer *http.Server, forceStop <-chan struct{}) {
 	g.Logger.Info().Dur("delay", g.DrainDelay).Msg("gateway: draining")
 	g.fire(eventDrain)
@@ -218,11 +217,13 @@
 	defer cancel()
 	shutdown := pool.New()
 	shutdown.Go(func() { _ = callerServer.Shutdown(ctx) })
-	for g.inFlight.Load() > 0 {
+	for g.inFlight.Load() > 0 && ctx.Err() == nil {
 		select {
 		case <-forceStop:
 			cancel()
 			return
+		case <-ctx.Done():
+			g.Logger.Warn().Int64("inFlight", g.inFlight.Load()).Msg("gateway: requests are still in flight at the end of the drain")
 		case <-time.After(drainPollInterval):
 		}
 	}
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -102,6 +102,11 @@
 	return s.Term, s.Leader == s.ID && s.LeaseMillis > 0
 }
 
+// Propose implements dispatcher.Leadership.
+func (l replicaLeadership) Propose(ctx context.Context, term uint64, command []byte) (any, error) {
+	return l.ProposeInTerm(ctx, term, command)
+}
+
 // LeaderAddress implements dispatcher.Leadership.
 func (l replicaLeadership) LeaderAddress() string {
 	s := l.Status()
--- a/internal/replicator/handover.go
+++ b/internal/replicator/handover.go
@@ -47,7 +47,7 @@
 // whether it did. The lease ends before the follower is notified. The replica
 // rejects proposals until the transfer is cancelled.
 func (r *Replica) tryTransferLeadership() bool {
-	r.transferringLeadership = true
+	r.transferTerm = r.core.term
 	to := r.core.findSuccessor(r.now())
 	if to == 0 {
 		return false
--- a/internal/replicator/handover_test.go
+++ b/internal/replicator/handover_test.go
@@ -112,3 +112,28 @@
 		t.Error("no change was committed after the links were restored")
 	})
 }
+
+// Guards against a replica that rejects all proposals when it leads again after it
+// transferred its leadership.
+func TestLeadsAgainAfterTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 3)
+		defer c.stop()
+		first := c.waitForLeader()
+		r, k := first.replicaAndKeeper()
+		for i := 0; i == 0 || c.waitForLeader() != first; i++ {
+			if i == 50 {
+				t.Fatal("the first leader was not elected again")
+			}
+			time.Sleep(500 * time.Millisecond)
+			leader, _ := c.waitForLeader().replicaAndKeeper()
+			if _, err := leader.TransferLeadership(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if _, err := proposeTable(context.Background(), r, "change", k.Routes().Version, "row"); err != nil {
+			t.Errorf("the leader rejects a proposal: %v", err)
+		}
+	})
+}
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -71,10 +71,16 @@
 		}
 		break
 	}
-	if r.core.role() != roleLeader || r.transferringLeadership {
-		for _, p := range batch {
+	mayAppend := r.core.role() == roleLeader && r.core.term != r.transferTerm
+	accepted := batch[:0]
+	for _, p := range batch {
+		if !mayAppend || p.onlyInTerm != 0 && p.onlyInTerm != r.core.term {
 			p.done <- requestResult{err: ErrNotLeader}
+			continue
 		}
+		accepted = append(accepted, p)
+	}
+	if batch = accepted; len(batch) == 0 {
 		return
 	}
 	payloads := make([][]byte, len(batch))
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -214,7 +214,7 @@
 		return
 	}
 	if request.transferLeadership || request.cancelTransfer {
-		r.transferringLeadership = false
+		r.transferTerm = 0
 		request.done <- requestResult{value: request.transferLeadership && r.tryTransferLeadership()}
 		return
 	}
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -107,10 +107,11 @@
 	pendingReadIndexes []*readIndexRequest
 	snapshot           *encoder.Snapshot
 	loggedRole         role
-	// transferringLeadership is set by an attempt to transfer leadership. While it
-	// is set, the replica rejects proposals.
-	transferringLeadership bool
-	appliedNotifier        appliedNotifier
+	// transferTerm is the term in which an attempt to transfer leadership began,
+	// zero if there was none or it was given up. In that term the replica rejects
+	// proposals.
+	transferTerm    uint64
+	appliedNotifier appliedNotifier
 }
 
 var _ carobrock.Replica = (*Replica)(nil)
@@ -119,8 +120,11 @@
 // which it was appended.
 type proposal struct {
 	data []byte
-	term uint64
-	done chan requestResult // buffered, capacity 1
+	// onlyInTerm is the only term in which the entry may be appended, zero if any
+	// term will do.
+	onlyInTerm uint64
+	term       uint64
+	done       chan requestResult // buffered, capacity 1
 }
 
 // requestResult is the result of a proposal or of a loopRequest.
@@ -230,7 +234,14 @@
 // ErrOutcomeUnknown, ErrStopped, or, if the command was not queued, the context's
 // error. After ErrOutcomeUnknown the command may still be committed.
 func (r *Replica) Propose(ctx context.Context, command []byte) (any, error) {
-	p := &proposal{data: command, done: make(chan requestResult, 1)}
+	return r.ProposeInTerm(ctx, 0, command)
+}
+
+// ProposeInTerm is Propose for a command that is valid in one term only, because
+// it was decided with knowledge that a later leader may have outdated. It fails
+// with ErrNotLeader if this replica does not lead in that term.
+func (r *Replica) ProposeInTerm(ctx context.Context, term uint64, command []byte) (any, error) {
+	p := &proposal{data: command, onlyInTerm: term, done: make(chan requestResult, 1)}
 	select {
 	case r.proposals <- p:
 	case <-r.stopped:
