One process a VM, voters spread over availability zones, heartbeats by load

Cause 1: a fixed share of the VMs ran control. Change: one role on every VM serves callers, workers and operators; it holds a replica where there is a data directory. A node without one redirects operators to the leader, since its link may be slow. The group grows to 2f+1 voters of which no availability zone has more than half.

Cause 2: 3,400 heartbeats a second kept the leader of 540 workers so busy that a commit took 60 ms. Change: the period of heartbeats follows how late the leader's timers fire, and half of it the response is held, half of it the worker waits, so that starts and ends are both postponed less.

The load of the leader is logged every 5 s.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -15,6 +15,7 @@
 	"github.com/carobrock/carobrock/internal/launcher"
 	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/sleeper"
+	"github.com/carobrock/carobrock/internal/submitter"
 	"github.com/carobrock/carobrock/platform"
 )
 
@@ -58,7 +59,7 @@
 	settingsPath string
 	log          zerolog.Logger
 
-	gateway   *launcher.JobGateway
+	submitter *submitter.Submitter // nil unless the node serves callers
 	replica   *launcher.JobReplica
 	relay     *launcher.JobRelay
 	endpoints []*launcher.Endpoint
@@ -68,17 +69,21 @@
 // their endpoints.
 func (n *node) openEndpoints() error {
 	s := n.settings
+	control, err := n.openControl()
+	if err != nil {
+		return err
+	}
 	if s.ServesCallers {
-		n.gateway = launcher.NewJobGateway(s, n.log)
-		n.addEndpoint("callers", s.CallerAddress, &platform.CallerHandler{Submitter: n.gateway.Submitter, Logger: n.log})
-		n.addEndpoint("readiness", s.ReadyAddress, &platform.ReadinessHandler{IsReady: n.gateway.Submitter.IsReady})
+		n.submitter = &submitter.Submitter{Control: control, Logger: n.log}
+		n.addEndpoint("callers", s.CallerAddress, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
+		n.addEndpoint("readiness", s.ReadyAddress, &platform.ReadinessHandler{IsReady: n.submitter.IsReady})
 	}
 	if s.ServesControl {
-		control, err := n.openControl()
-		if err != nil {
-			return err
+		api := &platform.ControlAPI{JobControl: control, Address: s.ControlAddress, Logger: n.log}
+		if n.relay != nil {
+			api.LeaderHost = n.relay.LeaderHost
 		}
-		n.addEndpoint("control", s.ControlAddress, (&platform.ControlAPI{JobControl: control, Logger: n.log}).Handler())
+		n.addEndpoint("control", s.ControlAddress, api.Handler())
 	}
 	for _, e := range n.endpoints {
 		if err := e.Open(); err != nil {
@@ -89,11 +94,11 @@
 }
 
 // openControl creates a replica and returns its control interface. On a VM
-// without a disk, where no data directory is configured, it creates a relay
-// instead.
+// without a disk, where no data directory is configured, and in a process that
+// serves no workers and operators it creates a relay instead.
 func (n *node) openControl() (carobrock.JobControl, error) {
 	var err error
-	if n.settings.DataDir == "" {
+	if n.settings.DataDir == "" || !n.settings.ServesControl {
 		if n.relay, err = launcher.NewJobRelay(n.settings, n.log); err != nil {
 			return nil, err
 		}
@@ -123,7 +128,7 @@
 // run serves until ctx ends, then drains the node and stops its components. It
 // returns the first error of an endpoint or, if there is none, of a component.
 func (n *node) run(ctx context.Context) error {
-	n.log.Info().Str("node", n.settings.Node).Bool("gateway", n.gateway != nil).Bool("replica", n.replica != nil).Bool("relay", n.relay != nil).
+	n.log.Info().Str("node", n.settings.Node).Bool("gateway", n.submitter != nil).Bool("replica", n.replica != nil).Bool("relay", n.relay != nil).
 		Bool("firstStart", n.settings.FirstStart).Str("version", version).Msg("node: started")
 	serveCtx, stopServing := context.WithCancel(context.Background())
 	runCtx, stopRunning := context.WithCancel(context.Background())
@@ -134,8 +139,8 @@
 		servers.Go(e.Run)
 	}
 	components := pool.New().WithContext(runCtx).WithCancelOnError().WithFirstError()
-	if n.gateway != nil {
-		components.Go(n.gateway.Run)
+	if n.submitter != nil {
+		components.Go(n.submitter.Run)
 	}
 	if n.relay != nil {
 		components.Go(n.relay.Run)
@@ -174,10 +179,10 @@
 	if n.replica != nil {
 		n.replica.TransferLeadership()
 	}
-	if n.gateway == nil {
+	if n.submitter == nil {
 		return
 	}
-	n.gateway.Submitter.StartDraining()
+	n.submitter.StartDraining()
 	for _, e := range n.endpoints {
 		e.DisableKeepAlives()
 	}
@@ -213,9 +218,6 @@
 			n.log.Warn().Err(err).Msg("node: cannot reload settings; the previous ones remain in use")
 			continue
 		}
-		if n.gateway != nil {
-			n.gateway.SetSeeds(s.Seeds)
-		}
 		if n.replica != nil {
 			n.replica.SetSeeds(s.Seeds)
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -90,6 +90,15 @@
 	adviceByStep map[carobrock.TaskRef]*advice
 	// modelRecordedAt is when the model was last written to the replicated state.
 	modelRecordedAt time.Time
+	// rhythm chooses the delay of responses to heartbeats.
+	rhythm rhythm
+	// heartbeatCount and roundCount count the heartbeats and the placement rounds
+	// since the start of the process, planTime is the time spent in the rounds.
+	// loadLoggedAt is when they were last logged.
+	heartbeatCount uint64
+	roundCount     uint64
+	planTime       time.Duration
+	loadLoggedAt   time.Time
 	// lastFullRound is when a placement round last considered all waiting tasks.
 	lastFullRound time.Time
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -10,16 +10,6 @@
 	"github.com/carobrock/carobrock/internal/locator"
 )
 
-const (
-	// maxResponseDelay is how long the response to a heartbeat is delayed while
-	// there are no orders. A worker reports ends of runs only with its next
-	// heartbeat, so a longer delay would postpone these reports.
-	maxResponseDelay = 100 * time.Millisecond
-	// heartbeatDelayMillis is the delay between a response and the worker's next
-	// heartbeat, in milliseconds.
-	heartbeatDelayMillis = 40
-)
-
 // decayFactor returns the weight that remains after d of exponential decay with
 // the given half-life: 2^(-d/halfLife).
 func decayFactor(d, halfLife time.Duration) float64 {
@@ -27,7 +17,8 @@
 }
 
 // Heartbeat implements carobrock.JobControl. It records the reported ends of
-// runs, waits up to maxResponseDelay for orders and returns the orders.
+// runs, waits for orders, at most until the response delay has passed, and returns
+// the orders.
 func (d *Dispatcher) Heartbeat(ctx context.Context, r *carobrock.WorkerReport) (*carobrock.HeartbeatResponse, error) {
 	received := time.Now()
 	if err := d.ensureLeader(); err != nil {
@@ -42,7 +33,7 @@
 	if err := d.recordEnds(ctx, w, r); err != nil {
 		return nil, err
 	}
-	d.awaitOrders(ctx, w, r)
+	d.awaitOrders(ctx, w, r, received)
 	return d.buildResponse(w, r, received)
 }
 
@@ -51,6 +42,7 @@
 func (d *Dispatcher) recordHeartbeat(r *carobrock.WorkerReport, now time.Time) (*worker, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.heartbeatCount++
 	w := d.workers[r.Name]
 	if w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation {
 		if r.Sequence <= w.report.Sequence {
@@ -223,8 +215,8 @@
 }
 
 // awaitOrders blocks until there are orders for the worker, a newer heartbeat
-// arrives, maxResponseDelay has passed or ctx is done.
-func (d *Dispatcher) awaitOrders(ctx context.Context, w *worker, r *carobrock.WorkerReport) {
+// arrives, the response delay since the given time has passed or ctx is done.
+func (d *Dispatcher) awaitOrders(ctx context.Context, w *worker, r *carobrock.WorkerReport, received time.Time) {
 	d.mu.Lock()
 	if w.report != r || d.hasOrders(w) {
 		d.mu.Unlock()
@@ -232,16 +224,22 @@
 	}
 	released := make(chan struct{})
 	w.pendingResponse = released
+	due := received.Add(d.rhythm.responseDelay())
 	d.mu.Unlock()
 	d.wakePlacement()
-	timer := time.NewTimer(maxResponseDelay)
+	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
+	lateness := time.Duration(-1)
 	select {
 	case <-released:
 	case <-timer.C:
+		lateness = time.Since(due)
 	case <-ctx.Done():
 	}
 	d.mu.Lock()
+	if lateness >= 0 {
+		d.rhythm.observe(lateness)
+	}
 	if w.pendingResponse == released {
 		w.pendingResponse = nil
 	}
@@ -269,10 +267,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if w.report != r || d.isBeingLost(r.WorkerIncarnation) {
-		return &carobrock.HeartbeatResponse{RetryMillis: heartbeatDelayMillis}, nil
+		return &carobrock.HeartbeatResponse{RetryMillis: d.rhythm.retryMillis()}, nil
 	}
 	response := &carobrock.HeartbeatResponse{
-		FencingToken: d.term, LeaseMillis: d.Settings.Lease.Milliseconds(), RetryMillis: heartbeatDelayMillis, NextAddress: d.WorkerAddress,
+		FencingToken: d.term, LeaseMillis: d.Settings.Lease.Milliseconds(), RetryMillis: d.rhythm.retryMillis(), NextAddress: d.WorkerAddress,
 	}
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
@@ -280,6 +278,7 @@
 		}
 		d.deriveOrders(s, w, response)
 	})
+	w.respondedAt = time.Now()
 	for i := range response.Start {
 		w.startsSent[response.Start[i].Run] = true
 	}
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -23,13 +23,15 @@
 	// maxAssignments bounds the assignments of one round, so that a burst of tasks
 	// does not delay heartbeats.
 	maxAssignments = 300
-	// silentAfter is the time since its last heartbeat after which a worker gets no
-	// new tasks: a few times the usual heartbeat interval.
+	// silentAfter is the time since its last heartbeat and the response to it after
+	// which a worker gets no new tasks: a few times the usual heartbeat interval.
 	silentAfter = 600 * time.Millisecond
 	// modelRecordInterval is the interval at which the interference model is
 	// written to the replicated state. A new leader relearns what was not yet
 	// recorded in about the same time.
 	modelRecordInterval = 2 * time.Second
+	// loadLogInterval is the interval at which the load of the leader is logged.
+	loadLogInterval = 5 * time.Second
 )
 
 // runPlacement executes placement rounds until ctx is done.
@@ -91,6 +93,11 @@
 func (d *Dispatcher) planRound(now time.Time) (*carobrock.JobCommand, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	began := time.Now()
+	defer func() {
+		d.roundCount++
+		d.planTime += time.Since(began)
+	}()
 	c := &carobrock.JobCommand{}
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		d.findLostWorkers(s, now)
@@ -109,6 +116,8 @@
 		}
 		if isFull {
 			d.lastFullRound = now
+			d.rhythm.adjust()
+			d.logLoad(s, now)
 			d.moveSlowedFillers(s, candidates, now)
 			d.dropStaleAdvice(now)
 		}
@@ -123,6 +132,16 @@
 	return c, d.term
 }
 
+// logLoad logs the load of the leader every loadLogInterval. d.mu must be held.
+func (d *Dispatcher) logLoad(s *bookkeeper.State, now time.Time) {
+	if now.Sub(d.loadLoggedAt) < loadLogInterval {
+		return
+	}
+	d.loadLoggedAt = now
+	d.Logger.Info().Int("workers", len(d.workers)).Int("openJobs", len(s.Open)).Dur("period", d.rhythm.currentPeriod()).
+		Dur("lateness", d.rhythm.meanLateness).Uint64("heartbeats", d.heartbeatCount).Uint64("rounds", d.roundCount).Dur("planTime", d.planTime).Msg("dispatcher: load")
+}
+
 // findLostWorkers adds the losses of the worker incarnations with runs whose
 // leases have all expired.
 func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time) {
@@ -154,7 +173,7 @@
 		if len(v.unstarted) == 0 || d.isBeingLost(w.report.WorkerIncarnation) {
 			continue
 		}
-		silent := now.Sub(w.receivedAt) > silentAfter && w.pendingResponse == nil
+		silent := w.isSilent(now)
 		for _, run := range v.unstarted {
 			if w.startsSent[run] {
 				continue
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -95,7 +95,7 @@
 func (d *Dispatcher) candidateWorkers(s *bookkeeper.State, now time.Time) []*allocator.Worker {
 	out := make([]*allocator.Worker, 0, len(d.workers))
 	for _, w := range d.sortedWorkers() {
-		if d.isBeingLost(w.report.WorkerIncarnation) || !d.mayStartRuns(s, w) || w.pendingResponse == nil && now.Sub(w.receivedAt) > silentAfter {
+		if d.isBeingLost(w.report.WorkerIncarnation) || !d.mayStartRuns(s, w) || w.isSilent(now) {
 			continue
 		}
 		out = append(out, d.candidate(s, w, now))
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -14,8 +14,9 @@
 	report *carobrock.WorkerReport
 	// view is derived from report and the replicated record.
 	view workerView
-	// receivedAt is when report arrived.
-	receivedAt time.Time
+	// receivedAt is when report arrived, respondedAt when the last response was sent.
+	receivedAt  time.Time
+	respondedAt time.Time
 	// leaseExpiry is the time by which every lease granted by this leader has
 	// certainly expired on the worker's clock.
 	leaseExpiry time.Time
@@ -141,6 +142,11 @@
 	}
 }
 
+// isSilent reports whether the worker's next heartbeat is overdue.
+func (w *worker) isSilent(now time.Time) bool {
+	return w.pendingResponse == nil && now.Sub(w.receivedAt) > silentAfter && now.Sub(w.respondedAt) > silentAfter
+}
+
 // releaseResponse lets the delayed response to a heartbeat be sent.
 func (w *worker) releaseResponse() {
 	if w.pendingResponse != nil {
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -24,7 +24,6 @@
 	"github.com/carobrock/carobrock/internal/messenger"
 	"github.com/carobrock/carobrock/internal/recruiter"
 	"github.com/carobrock/carobrock/internal/replicator"
-	"github.com/carobrock/carobrock/internal/submitter"
 )
 
 // NodeSettings are the settings of a node, a process that takes part in the
@@ -161,7 +160,9 @@
 	}
 	leaderLocator := &locator.Locator{RPCClient: ms, Logger: logger}
 	leaderLocator.SetSeeds(s.Seeds)
-	r := &recruiter.Recruiter{Group: replica, Locator: leaderLocator, Address: s.PeerAddress, Voters: s.Voters, Logger: logger}
+	r := &recruiter.Recruiter{
+		Group: replica, Locator: leaderLocator, Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Voters: s.Voters, Logger: logger,
+	}
 	ms.Handlers = locator.Handlers(d)
 	maps.Copy(ms.Handlers, r.Handlers())
 	ms.OnMessage = replica.ReceiveMessage
@@ -224,40 +225,6 @@
 	return components.Wait()
 }
 
-// JobGateway is a gateway for callers who submit jobs.
-type JobGateway struct {
-	// Submitter forwards requests to the leader.
-	Submitter *submitter.Submitter
-
-	messenger     *messenger.Messenger
-	locator       *locator.Locator
-	memberWatcher *recruiter.MemberWatcher
-}
-
-// NewJobGateway returns a gateway that finds the group through the seeds.
-func NewJobGateway(s *NodeSettings, logger zerolog.Logger) *JobGateway {
-	ms := &messenger.Messenger{Logger: logger}
-	ms.Prepare()
-	leaderLocator := &locator.Locator{RPCClient: ms, Logger: logger}
-	leaderLocator.SetSeeds(s.Seeds)
-	return &JobGateway{
-		Submitter: &submitter.Submitter{Control: leaderLocator, Logger: logger},
-		messenger: ms, locator: leaderLocator, memberWatcher: &recruiter.MemberWatcher{RPCClient: ms, Locator: leaderLocator},
-	}
-}
-
-// SetSeeds replaces the peer addresses at which the gateway looks for the group.
-func (g *JobGateway) SetSeeds(seeds []string) { g.locator.SetSeeds(seeds) }
-
-// Run runs the gateway until ctx ends.
-func (g *JobGateway) Run(ctx context.Context) error {
-	components := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
-	components.Go(g.messenger.Run)
-	components.Go(g.Submitter.Run)
-	components.Go(g.memberWatcher.Run)
-	return components.Wait()
-}
-
 // Endpoint is an HTTP server at one address.
 type Endpoint struct {
 	// Name identifies the endpoint in errors.
--- a/internal/launcher/relay.go
+++ b/internal/launcher/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
@@ -14,8 +15,8 @@
 	"github.com/carobrock/carobrock/internal/replicator"
 )
 
-// JobRelay serves workers and operators on a VM without a disk. It has no replica
-// and forwards their calls to the leader.
+// JobRelay carries the calls of callers, workers and operators to the leader. It
+// runs on a VM without a disk and has no replica.
 type JobRelay struct {
 	// Control forwards calls to the leader.
 	Control carobrock.JobControl
@@ -43,6 +44,15 @@
 	}, nil
 }
 
+// LeaderHost returns the host on which the leader runs, empty if it is not known.
+func (j *JobRelay) LeaderHost() string {
+	host, _, err := net.SplitHostPort(j.locator.Leader())
+	if err != nil {
+		return "" // no leader is known
+	}
+	return host
+}
+
 // SetSeeds replaces the peer addresses at which the relay looks for the group.
 func (j *JobRelay) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
 
--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -45,19 +45,23 @@
 	AdmitVoter(ctx context.Context, newMember *encoder.Member, replacedID uint64) error
 }
 
-// joinRequest is the body of a MethodJoin call: the ID, name and address of the
-// replica that asks to become a voter.
+// joinRequest is the body of a MethodJoin call: the ID, name, address and
+// availability zone of the replica that asks to become a voter.
 type joinRequest struct {
-	ID      uint64 `cbor:"1,keyasint"`
-	Name    string `cbor:"2,keyasint"`
-	Address string `cbor:"3,keyasint"`
+	ID               uint64 `cbor:"1,keyasint"`
+	Name             string `cbor:"2,keyasint"`
+	Address          string `cbor:"3,keyasint"`
+	AvailabilityZone string `cbor:"4,keyasint"`
 }
 
 // membersResponse is the result of a MethodMembers call: the addresses of the
-// leader and of all members, as far as the replica knows them.
+// leader and of all members, as far as the replica knows them, and the replica's
+// own ID and availability zone.
 type membersResponse struct {
-	Leader  string   `cbor:"1,keyasint"`
-	Members []string `cbor:"2,keyasint"`
+	Leader           string   `cbor:"1,keyasint"`
+	Members          []string `cbor:"2,keyasint"`
+	ID               uint64   `cbor:"3,keyasint"`
+	AvailabilityZone string   `cbor:"4,keyasint"`
 }
 
 // Recruiter admits voters to the control group while this process's replica is
@@ -70,6 +74,8 @@
 	Locator *locator.Locator
 	// Address is the address at which this replica receives calls.
 	Address string
+	// AvailabilityZone is where this replica runs.
+	AvailabilityZone string
 	// Voters is the target number of voters. If zero, it is 3.
 	Voters int
 	// SilentAfter is the time without a response from a member after which the
@@ -79,6 +85,8 @@
 
 	mu        sync.Mutex
 	admitting bool
+	// zones holds the availability zones of members by ID, as far as they are known.
+	zones map[uint64]string
 }
 
 const defaultVoters = 3
@@ -90,7 +98,7 @@
 
 func (r *Recruiter) handleMembers(context.Context, []byte) ([]byte, error) {
 	s := r.Group.Status()
-	response := membersResponse{Leader: s.LeaderAddress}
+	response := membersResponse{Leader: s.LeaderAddress, ID: s.ID, AvailabilityZone: r.AvailabilityZone}
 	for _, m := range s.Members {
 		response.Members = append(response.Members, m.Address)
 	}
@@ -105,10 +113,13 @@
 		for i := range s.Members {
 			r.Locator.AddMembers([]string{s.Members[i].Address})
 		}
+		if s.Leader == s.ID {
+			r.learnZones(ctx, &s)
+		}
 		if isVoter(&s) || s.Role == "forming" {
 			continue
 		}
-		body, err := cbor.Marshal(&joinRequest{ID: s.ID, Name: s.Name, Address: r.Address})
+		body, err := cbor.Marshal(&joinRequest{ID: s.ID, Name: s.Name, Address: r.Address, AvailabilityZone: r.AvailabilityZone})
 		if err != nil {
 			return err
 		}
@@ -142,7 +153,7 @@
 	if err := cbor.Unmarshal(body, request); err != nil {
 		return nil, &messenger.RemoteError{Code: "refused", Text: err.Error()}
 	}
-	replacedID, ok := r.memberToReplace(&s, request)
+	replacedID, ok := memberToReplace(r.describeVoters(&s), r.wantVoters(), request)
 	if !ok || !r.tryBeginAdmission() {
 		return cbor.Marshal(false)
 	}
@@ -192,38 +203,55 @@
 	return n
 }
 
-// memberToReplace returns the ID of the member that the requesting replica
-// replaces, zero if it becomes an additional voter, and whether the replica may
-// be admitted.
-func (r *Recruiter) memberToReplace(s *carobrock.ReplicaStatus, request *joinRequest) (uint64, bool) {
-	wantVoters := r.Voters
-	if wantVoters == 0 {
-		wantVoters = defaultVoters
+// wantVoters returns the target number of voters.
+func (r *Recruiter) wantVoters() int {
+	if r.Voters == 0 {
+		return defaultVoters
 	}
+	return r.Voters
+}
+
+// describeVoters returns the members of the group with their availability zones.
+func (r *Recruiter) describeVoters(s *carobrock.ReplicaStatus) []member {
 	silentAfter := r.SilentAfter
 	if silentAfter == 0 {
 		silentAfter = DefaultSilentAfter
 	}
-	var silent *carobrock.MemberStatus
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	members := make([]member, 0, len(s.Members))
 	for i := range s.Members {
-		m := &s.Members[i]
-		if m.ID == s.ID || m.ID == request.ID {
+		m := member{MemberStatus: s.Members[i], zone: r.zones[s.Members[i].ID], isSelf: s.Members[i].ID == s.ID}
+		m.isSilent = m.SilentMillis >= silentAfter.Milliseconds()
+		if m.isSelf {
+			m.zone = r.AvailabilityZone
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+// learnZones asks one member whose availability zone is not known for it.
+func (r *Recruiter) learnZones(ctx context.Context, s *carobrock.ReplicaStatus) {
+	for _, m := range r.describeVoters(s) {
+		if m.isSelf || m.zone != "" || m.isSilent {
 			continue
 		}
-		if m.Name == request.Name || m.Address == request.Address {
-			return m.ID, true // a new ID with the same name or address means that the replica has lost its data directory
+		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+		data, err := r.Locator.RPCClient.Call(ctx, m.Address, MethodMembers, nil)
+		response := &membersResponse{}
+		if err != nil || cbor.Unmarshal(data, response) != nil {
+			r.Logger.Debug().Err(err).Str("address", m.Address).Msg("recruiter: the availability zone of a member is not known yet")
+			return
 		}
-		if m.SilentMillis >= silentAfter.Milliseconds() && (silent == nil || m.SilentMillis > silent.SilentMillis) {
-			silent = m
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.zones == nil {
+			r.zones = map[uint64]string{}
 		}
-	}
-	switch {
-	case silent != nil:
-		return silent.ID, true
-	case countVoters(s) < wantVoters:
-		return 0, true
-	default:
-		return 0, false
+		r.zones[response.ID] = response.AvailabilityZone
+		return
 	}
 }
 
--- a/internal/recruiter/recruiter_test.go
+++ b/internal/recruiter/recruiter_test.go
@@ -1,6 +1,9 @@
 package recruiter
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/carobrock/carobrock"
@@ -30,10 +33,73 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := &Recruiter{}
-			replacedID, ok := r.memberToReplace(&carobrock.ReplicaStatus{ID: 1, Members: test.members}, &test.request)
+			replacedID, ok := memberToReplace(r.describeVoters(&carobrock.ReplicaStatus{ID: 1, Members: test.members}), r.wantVoters(), &test.request)
 			if replacedID != test.wantReplaced || ok != test.wantOK {
 				t.Errorf("replaced member %d, admitted %v; want %d, %v", replacedID, ok, test.wantReplaced, test.wantOK)
 			}
 		})
 	}
 }
+
+// TestVotersSpreadOverZones admits replicas in random order and checks that the
+// group ends with enough voters, so spread that it survives the loss of any one
+// availability zone and of any tolerated number of VMs, wherever that is possible.
+func TestVotersSpreadOverZones(t *testing.T) {
+	for zones := 1; zones <= 7; zones++ {
+		for replicas := max(3, zones); replicas <= 15; replicas++ {
+			for tolerated := 1; tolerated <= 3; tolerated++ {
+				for seed := range uint64(5) {
+					checkSpread(t, zones, replicas, 2*tolerated+1, seed)
+				}
+			}
+		}
+	}
+}
+
+func checkSpread(t *testing.T, zones, replicas, wantVoters int, seed uint64) {
+	t.Helper()
+	rnd := rand.New(rand.NewPCG(seed, uint64(100*zones+replicas)))
+	zoneOf := func(id uint64) string { return fmt.Sprint("az", (id-1)%uint64(zones)) }
+	newMember := func(id uint64) member {
+		m := member{zone: zoneOf(id), isSelf: id == 1}
+		m.ID, m.Name, m.Address, m.Voter = id, fmt.Sprint("r", id), fmt.Sprint("r", id, ":1"), true
+		return m
+	}
+	// The group is formed by up to three replicas that happen to start first.
+	members := []member{newMember(1)}
+	for _, i := range rnd.Perm(replicas - 1)[:2] {
+		members = append(members, newMember(uint64(i)+2))
+	}
+	for range 20 * replicas {
+		id := uint64(rnd.IntN(replicas)) + 1
+		if slices.ContainsFunc(members, func(m member) bool { return m.ID == id }) {
+			continue
+		}
+		m := newMember(id)
+		replacedID, ok := memberToReplace(members, wantVoters, &joinRequest{ID: id, Name: m.Name, Address: m.Address, AvailabilityZone: m.zone})
+		if !ok {
+			continue
+		}
+		members = slices.DeleteFunc(members, func(m member) bool { return m.ID == replacedID })
+		members = append(members, m)
+	}
+	perZone, available := map[string]int{}, map[string]int{}
+	for _, m := range members {
+		perZone[m.zone]++
+	}
+	for id := range uint64(replicas) {
+		available[zoneOf(id+1)]++
+	}
+	if len(members) != min(wantVoters, replicas) {
+		t.Fatalf("%d zones, %d replicas, seed %d: %d voters, want %d", zones, replicas, seed, len(members), wantVoters)
+	}
+	limit, possible := (wantVoters-1)/2, 0
+	for _, n := range available {
+		possible += min(n, limit)
+	}
+	for zone, n := range perZone {
+		if possible >= wantVoters && n > limit {
+			t.Errorf("%d zones, %d replicas, seed %d: %d of %d voters in %s, want at most %d", zones, replicas, seed, n, wantVoters, zone, limit)
+		}
+	}
+}
