Dispatcher: new filling jobs no longer overtake the ones that wait

Cause: between the rounds that consider all waiting fillers, only fillers of jobs younger than half a second were considered.

Change: while fillers are left over, new ones wait for the next round that considers all.

A service that stays over its target is logged with the paces beside it. The fake workers of the load test advanced too little and counted as stalled.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -99,8 +99,10 @@
 	roundCount     uint64
 	planTime       time.Duration
 	loadLoggedAt   time.Time
-	// lastFullRound is when a placement round last considered all waiting tasks.
+	// lastFullRound is when a placement round last considered all waiting tasks,
+	// fillersWait is set if it left over fillers.
 	lastFullRound time.Time
+	fillersWait   bool
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
 	// ID.
 	jobLoadEstimates map[string]map[*loadEstimate]bool
--- a/internal/dispatcher/load_test.go
+++ b/internal/dispatcher/load_test.go
@@ -72,7 +72,7 @@
 				delete(v.endsAt, x.Run)
 				v.endRun(x.Run, carobrock.EndSucceeded)
 			default:
-				x.MilliCPU = 1000
+				x.MilliCPU, x.Percent = 1000, min(99, x.Percent+1) // advances, so that it doesn't count as stalled
 			}
 		}
 		if v.sendHeartbeat() != nil {
--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/pacer"
@@ -45,6 +47,10 @@
 	// fillers on the worker are stopped, whatever the model predicts of them. A pace
 	// change shows in the tail latency within a second.
 	overTargetAfter = 1500 * time.Millisecond
+	// overTargetLogAfter is how long a tail latency must exceed its target before
+	// that is logged.
+	overTargetLogAfter    = 3 * time.Second
+	overTargetLogInterval = time.Second
 	// saturatedLoad is the load above which a tail latency shows only that the
 	// service has no spare capacity, not by how much it is overloaded.
 	saturatedLoad = 0.95
@@ -261,6 +267,31 @@
 	return out
 }
 
+// logOverTarget logs a service that has been over its target for so long that the
+// paces of the fillers beside it should have helped, at most once in
+// overTargetLogInterval for a worker. d.mu must be held.
+func (d *Dispatcher) logOverTarget(w *worker, runs []carobrock.Run, fillers []pacer.Filler, now time.Time) {
+	if now.Sub(w.overTargetLoggedAt) < overTargetLogInterval {
+		return
+	}
+	for run, m := range w.loadEstimates {
+		if m.overTargetSince.IsZero() || now.Sub(m.overTargetSince) < overTargetLogAfter {
+			continue
+		}
+		w.overTargetLoggedAt = now
+		list := zerolog.Arr()
+		for i := range fillers {
+			t := w.throttles[runs[i]]
+			list.Dict(zerolog.Dict().Str("image", fillers[i].Image).Int("pace", fillers[i].Pace).Int64("milliCPU", w.reported[runs[i]].MilliCPU).
+				Bool("unconfirmed", t != nil && t.isInFlight(now)))
+		}
+		d.Logger.Warn().Str("worker", w.report.Name).Str("job", run.Task.Job).Int("index", run.Task.Index).Str("image", m.step.Image).
+			Float64("tailMillis", m.tailMillis).Int64("targetMillis", m.step.TailTargetMillis).Float64("ownLoad", m.ownLoad).
+			Dur("since", now.Sub(m.overTargetSince)).Array("fillers", list).Msg("dispatcher: service is over its target although fillers were slowed")
+		return
+	}
+}
+
 // updatePaces decides the paces of the fillers on a worker. A pace is not raised
 // within paceSettleTime of the last change. d.mu must be held.
 func (d *Dispatcher) updatePaces(s *bookkeeper.State, w *worker, now time.Time) {
@@ -277,6 +308,7 @@
 			fillers = append(fillers, w.describeFiller(run, step))
 		}
 	}
+	d.logOverTarget(w, runs, fillers, now)
 	isSettled := now.Sub(w.paceChangedAt) >= paceSettleTime
 	for i, pace := range pacer.DecidePaces(&d.model, w.describeServices(&d.baseline, now), fillers) {
 		before := fillers[i].Pace
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -108,7 +108,8 @@
 		d.releaseResponsesWithStops(s)
 		candidates := d.candidateWorkers(s, now)
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
-		if requests := d.waitingRequests(s, isFull, candidates, now); len(requests) > 0 {
+		requests := d.waitingRequests(s, isFull, candidates, now)
+		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
 			for i := range c.Assign {
 				d.dropCandidate(c.Assign[i].Incarnation)
@@ -116,6 +117,7 @@
 		}
 		if isFull {
 			d.lastFullRound = now
+			d.fillersWait = hasUnplacedFillers(requests, c.Assign)
 			d.rhythm.adjust()
 			d.logLoad(s, now)
 			d.moveSlowedFillers(s, candidates, now)
@@ -198,8 +200,9 @@
 }
 
 // waitingRequests returns the waiting tasks that are due, most urgent first.
-// Unless includeAll is set, fillers of jobs older than newJobMillis are left
-// out: there are many of them, and the loads of services change slowly.
+// Unless includeAll is set, fillers are left out if some were left over in the last
+// round that considered all: there are many of them, the loads of services change
+// slowly, and new jobs must not overtake those that wait.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
 	var out []allocator.Request
 	nowMillis := d.Now().UnixMilli()
@@ -214,8 +217,7 @@
 			}
 			for i := range j.Spec.Steps {
 				if r, ok := newRequest(j, o, k, i); ok {
-					age := nowMillis - j.SubmittedUnixMillis
-					if r.Step.Filler && !includeAll && age > newJobMillis {
+					if r.Step.Filler && !includeAll && d.fillersWait {
 						continue
 					}
 					u, _ := urgencyOf(j, o, k, i, nowMillis)
@@ -233,6 +235,25 @@
 	return out
 }
 
+// hasUnplacedFillers reports whether some fillers of the requests are not among the
+// assignments.
+func hasUnplacedFillers(requests []allocator.Request, assigned []carobrock.TaskAssignment) bool {
+	placed := map[string]int{}
+	for i := range assigned {
+		placed[assigned[i].Task.Job]++
+	}
+	for i := range requests {
+		r := &requests[i]
+		if !r.Step.Filler {
+			continue
+		}
+		if placed[r.Job] -= len(r.Indices); placed[r.Job] < 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // urgency is the sort key of waiting tasks; lower values are placed first.
 type urgency struct {
 	// class is -1 for services. For other tasks it combines the priority of the
@@ -325,10 +346,6 @@
 // memory for long.
 const minPaceFraction = 1.0
 
-// newJobMillis is the age of a job, in milliseconds, up to which its fillers
-// are considered in every round.
-const newJobMillis = 500
-
 // newRequest returns a request for the waiting tasks of a step. It returns false
 // if there are none, or the steps that it depends on are not done, or runs of a
 // gang are still active.
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -48,6 +48,8 @@
 	// time of the last pace change.
 	throttles     map[carobrock.Run]*throttle
 	paceChangedAt time.Time
+	// overTargetLoggedAt is when a service over its target was last logged.
+	overTargetLoggedAt time.Time
 	// loadEstimates holds the load estimates of service tasks; firstSeen is when
 	// each run was first reported.
 	loadEstimates map[carobrock.Run]*loadEstimate
