Ranker: the order of waiting tasks has a package of its own

Urgencies were keyed by step and so shared by the occurrences of a repeated job, of which the last one decided for all; each request now has its own.

--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/pacer"
+	"github.com/carobrock/carobrock/internal/ranker"
 	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
@@ -204,9 +204,8 @@
 // round that considered all: there are many of them, the loads of services change
 // slowly, and new jobs must not overtake those that wait.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
-	var out []allocator.Request
+	var ranked []rankedRequest
 	nowMillis := d.Now().UnixMilli()
-	urgencies := map[*carobrock.Step]urgency{}
 	for _, j := range s.Open {
 		if j.Queue.Pool == "" {
 			continue
@@ -220,21 +219,29 @@
 					if r.Step.Filler && !includeAll && d.fillersWait {
 						continue
 					}
-					u, _ := urgencyOf(j, o, k, i, nowMillis)
 					r.MinPaceFraction = minPaceFraction
-					urgencies[r.Step] = u
 					if j.Queue.Policy != nil {
 						d.fillTickets(&r, j.Queue.Policy, candidates, now)
 					}
-					out = append(out, r)
+					ranked = append(ranked, rankedRequest{r, ranker.UrgencyOf(j, o, k, i, nowMillis)})
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(out, func(a, b allocator.Request) int { return urgencies[a.Step].compare(urgencies[b.Step]) })
+	slices.SortStableFunc(ranked, func(a, b rankedRequest) int { return a.urgency.Compare(b.urgency) })
+	out := make([]allocator.Request, len(ranked))
+	for i := range ranked {
+		out[i] = ranked[i].Request
+	}
 	return out
 }
 
+// rankedRequest is a request with its urgency.
+type rankedRequest struct {
+	allocator.Request
+	urgency ranker.Urgency
+}
+
 // hasUnplacedFillers reports whether some fillers of the requests are not among the
 // assignments.
 func hasUnplacedFillers(requests []allocator.Request, assigned []carobrock.TaskAssignment) bool {
@@ -254,93 +261,6 @@
 	return false
 }
 
-// urgency is the sort key of waiting tasks; lower values are placed first.
-type urgency struct {
-	// class is -1 for services. For other tasks it combines the priority of the
-	// queue with the timeliness of the job.
-	class int
-	// hasStarted is set if a task of the job has run.
-	hasStarted bool
-	// slackMillis is the time in milliseconds by which the job could be delayed and
-	// still finish on time.
-	slackMillis int64
-}
-
-// compare returns a negative number if u comes before o, and a positive one if
-// it comes after. Lower classes come first, then started jobs, least slack
-// first. Jobs that have not started are ordered by most slack first: under
-// overload, placing the oldest job first would make every job finish just too
-// late. Buttazzo et al. (1995) show this for earliest deadline first.
-func (u urgency) compare(o urgency) int {
-	startRank := func(u urgency) int {
-		if u.hasStarted {
-			return 0
-		}
-		return 1
-	}
-	c := cmp.Or(cmp.Compare(u.class, o.class), cmp.Compare(startRank(u), startRank(o)))
-	if c != 0 {
-		return c
-	}
-	if u.hasStarted {
-		return cmp.Compare(u.slackMillis, o.slackMillis)
-	}
-	return cmp.Compare(o.slackMillis, u.slackMillis)
-}
-
-// Timeliness classes of jobs, in descending order of the value of finishing the
-// job.
-const (
-	onTime = iota
-	late
-	tooLate
-	timelinessClasses // number of classes
-)
-
-// lateFactor is the multiple of its time objective within which a job that
-// finishes late still has some value.
-const lateFactor = 3
-
-// urgencyOf returns the urgency of a step of an occurrence at a time, and the
-// timeliness class of the job. Jobs that can still finish on time come before
-// jobs that are late already, as in Buttazzo et al., "Value vs. deadline
-// scheduling in overload conditions" (1995).
-func urgencyOf(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int, atMillis int64) (urgency, int) {
-	if j.Spec.Steps[i].Service {
-		return urgency{class: -1}, onTime
-	}
-	dueMillis := max(j.SubmittedUnixMillis, j.Spec.DueUnixMillis(k))
-	objectiveMillis := int64(j.Queue.StretchFactor*float64(criticalPathMillis(j, nil))) + j.Queue.TargetMillis
-	finishMillis := atMillis + criticalPathMillis(j, o) - dueMillis
-	timeliness := tooLate
-	switch {
-	case finishMillis <= objectiveMillis:
-		timeliness = onTime
-	case finishMillis <= lateFactor*objectiveMillis:
-		timeliness = late
-	}
-	return urgency{class: j.Queue.Priority*timelinessClasses + timeliness, hasStarted: j.State == carobrock.JobRunning, slackMillis: objectiveMillis - finishMillis}, timeliness
-}
-
-// criticalPathMillis returns the length of the critical path of the steps that
-// are not done, or of all steps if o is nil: the longest chain of estimated run
-// times, in milliseconds.
-func criticalPathMillis(j *bookkeeper.Job, o *bookkeeper.Occurrence) int64 {
-	longest := int64(0)
-	ends := make([]int64, len(j.Spec.Steps))
-	for i := range j.Spec.Steps {
-		step := &j.Spec.Steps[i]
-		for _, before := range step.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		if o == nil || o.Steps[i].DoneCount < len(o.Steps[i].Tasks) {
-			ends[i] += step.EstimateMillis
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // minPaceFraction is the fraction of its full speed at which a filler must be
 // able to run on the worker where it is placed, as a slower one would occupy
 // memory for long.
