--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -239,8 +241,15 @@
 	}
 }
 
-// runHandler runs the handler of the call's method.
-func (ms *Messenger) runHandler(ctx context.Context, call *encoder.Call) ([]byte, error) {
+// runHandler runs the handler of the call's method. A panic of the handler ends
+// the call with an error and is logged; the process continues to serve others.
+func (ms *Messenger) runHandler(ctx context.Context, call *encoder.Call) (body []byte, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			ms.Logger.Error().Str("method", call.GetMethod()).Str("panic", fmt.Sprint(r)).Bytes("stack", debug.Stack()).Msg("messenger: handler panicked")
+			body, err = nil, &RemoteError{Code: "internal", Text: "the handler panicked"}
+		}
+	}()
 	h, ok := ms.Handlers[call.GetMethod()]
 	if !ok {
 		return nil, &RemoteError{Code: "unknownMethod", Text: "unknown method " + call.GetMethod()}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -124,6 +124,7 @@
 		checkSilentConnection(t)
 		checkCallErrors(t)
 		checkResponseOrder(t)
+		checkPanic(t)
 	})
 }
 
@@ -215,3 +216,20 @@
 	}
 	group.Wait()
 }
+
+// checkPanic checks that a handler that panics ends one call with an error and
+// neither the process nor other calls.
+func checkPanic(t *testing.T) {
+	t.Helper()
+	client, _ := startPair(t, map[string]Handler{
+		"panic": func(context.Context, []byte) ([]byte, error) { panic("malformed message") },
+		"echo":  func(_ context.Context, body []byte) ([]byte, error) { return body, nil },
+	}, nil)
+	var remote *RemoteError
+	if _, err := client.Call(context.Background(), "server", "panic", nil); !errors.As(err, &remote) {
+		t.Errorf("error %v, want a remote error", err)
+	}
+	if body, err := client.Call(context.Background(), "server", "echo", []byte("x")); err != nil || string(body) != "x" {
+		t.Errorf("a later call returned %q, %v", body, err)
+	}
+}
