--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -27,7 +27,7 @@
 	LeaderAddress() string
 }
 
-// Settings configures the leases of runs.
+// Settings configures the leases of runs and the paths of heartbeats.
 type Settings struct {
 	// Lease is how long runs may continue without a heartbeat. Zero means 4 s. It
 	// is lowered to MaxLease if it exceeds it.
@@ -35,6 +35,11 @@
 	// MaxLease is the longest lease that an earlier leader may have granted. Zero
 	// means Lease.
 	MaxLease time.Duration
+	// MaxDirectWorkers is the number of workers that are directed to the leader. The
+	// others keep sending heartbeats to the process that they have found, which
+	// forwards them, so that the leader does not run out of connections. Zero means
+	// no limit.
+	MaxDirectWorkers int
 }
 
 const (
@@ -92,6 +97,8 @@
 	modelRecordedAt time.Time
 	// rhythm chooses the delay of responses to heartbeats.
 	rhythm rhythm
+	// directWorkers is the number of workers that are directed to this process.
+	directWorkers int
 	// heartbeatCount and roundCount count the heartbeats and the placement rounds
 	// since the start of the process, planTime is the time spent in the rounds.
 	// loadLoggedAt is when they were last logged.
@@ -183,6 +190,7 @@
 		}
 		d.workers, d.sorted = map[string]*worker{}, nil
 		d.losses = map[carobrock.WorkerIncarnation]carobrock.LostWorker{}
+		d.directWorkers = 0
 		d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 		d.StateMachine.View(func(s *bookkeeper.State) { d.model, d.baseline = pacer.Import(s.Interference) })
 		d.modelRecordedAt = d.termStart
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -60,6 +60,10 @@
 		// expiry time it would count as lost before its first response.
 		w.leaseExpiry = latestLeaseExpiry(now, d.Settings.Lease)
 		d.workers[r.Name], d.sorted = w, nil
+		if d.Settings.MaxDirectWorkers == 0 || d.directWorkers < d.Settings.MaxDirectWorkers {
+			w.isDirect = true
+			d.directWorkers++
+		}
 		d.endEarlierIncarnations(r)
 		d.Logger.Info().Str("worker", r.Name).Int64("started", r.Started).Str("machine", r.Machine).
 			Str("availabilityZone", r.AvailabilityZone).Msg("dispatcher: worker joined")
@@ -128,6 +132,9 @@
 	if d.workers[w.report.Name] == w {
 		delete(d.workers, w.report.Name)
 		d.sorted = nil
+		if w.isDirect {
+			d.directWorkers--
+		}
 	}
 	for run := range w.loadEstimates {
 		d.removeLoadEstimate(w, run)
@@ -270,7 +277,10 @@
 		return &carobrock.HeartbeatResponse{RetryMillis: d.rhythm.retryMillis()}, nil
 	}
 	response := &carobrock.HeartbeatResponse{
-		FencingToken: d.term, LeaseMillis: d.Settings.Lease.Milliseconds(), RetryMillis: d.rhythm.retryMillis(), NextAddress: d.WorkerAddress,
+		FencingToken: d.term, LeaseMillis: d.Settings.Lease.Milliseconds(), RetryMillis: d.rhythm.retryMillis(),
+	}
+	if w.isDirect {
+		response.NextAddress = d.WorkerAddress
 	}
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -95,3 +95,31 @@
 		}
 	})
 }
+
+// Workers beyond the limit stay with the process that forwards their heartbeats. The
+// place of a worker that has left goes to the next one that joins.
+func TestLeaderDirectsOnlySoManyWorkersToItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := prepareHarness(t)
+		h.d.WorkerAddress, h.d.Settings.MaxDirectWorkers = "leader:1", 2
+		h.start(nil)
+		defer h.stop()
+		var fleet []*fakeWorker
+		for _, name := range []string{"a", "b", "c"} {
+			v := h.newWorker(name, 4)
+			h.must(v.sendHeartbeat())
+			fleet = append(fleet, v)
+		}
+		if got := fleet[2].lastResponse.NextAddress; got != "" || fleet[1].lastResponse.NextAddress == "" {
+			t.Errorf("third worker directed to %q, second to %q", got, fleet[1].lastResponse.NextAddress)
+		}
+		fleet[0].report.Leaving = true
+		h.must(fleet[0].sendHeartbeat())
+		h.must(h.d.RemoveWorker(context.Background(), "a"))
+		d := h.newWorker("d", 4)
+		h.must(d.sendHeartbeat())
+		if d.lastResponse.NextAddress == "" {
+			t.Error("a new worker was not directed to the leader although another has left")
+		}
+	})
+}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -12,6 +12,8 @@
 type worker struct {
 	// report is the newest heartbeat.
 	report *carobrock.WorkerReport
+	// isDirect is set if the worker is directed to the leader.
+	isDirect bool
 	// view is derived from report and the replicated record.
 	view workerView
 	// receivedAt is when report arrived, respondedAt when the last response was sent.
