--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -64,6 +64,13 @@
 	g.term = term
 }
 
+// setLeader sets whether this replica is the leader.
+func (g *fakeLog) setLeader(isLeader bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isLeader = isLeader
+}
+
 // delayNextCommit delays the next commit by d.
 func (g *fakeLog) delayNextCommit(d time.Duration) {
 	g.mu.Lock()
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -123,3 +123,66 @@
 		}
 	})
 }
+
+// A response that was held when the leader lost its leadership carries no orders.
+func TestHeldResponseAfterLossOfLeadershipCarriesNoOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a := h.newWorker("a", 4)
+		h.must(a.sendHeartbeat())
+		calls := conc.NewWaitGroup()
+		calls.Go(func() { h.submitJob("job", oneCoreStep(1)) })
+		time.Sleep(3 * commitTime) // the job and its assignment are committed, or nearly
+		h.log.setLeader(false)
+		a.report.Sequence++
+		r := a.report
+		if response, err := h.d.Heartbeat(context.Background(), &r); err == nil {
+			t.Errorf("a replica without leadership answered with %d starts", len(response.Start))
+		}
+		calls.Wait()
+	})
+}
+
+// The leader may be paused between the decision on orders and the answer. It checks
+// its leadership last, so that a lease that ran out meanwhile is noticed.
+func TestLeadershipLostWhileAResponseIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a := h.newWorker("a", 4)
+		calls := conc.NewWaitGroup()
+		calls.Go(func() {
+			if a.sendHeartbeat() == nil {
+				t.Errorf("a replica that lost its leadership answered with lease %d ms and %d starts", a.lastResponse.LeaseMillis, len(a.lastResponse.Start))
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+		h.log.setLeader(false)
+		calls.Wait()
+	})
+}
+
+// A heartbeat of a worker that has left may arrive late, at the next leader. Tasks
+// that it attracts go elsewhere at once when it stays silent.
+func TestLateHeartbeatOfADepartedWorkerHoldsNoTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+		a.report.Leaving = true
+		h.must(a.sendHeartbeat())
+		late := a.report
+		late.Leaving, late.Sequence = false, 9
+		h.must(h.d.RemoveWorker(context.Background(), "a"))
+		h.log.setTerm(2)
+		if _, err := h.d.Heartbeat(context.Background(), &late); err != nil {
+			t.Fatal(err)
+		}
+		h.submitJob("job", oneCoreStep(4))
+		b.sendHeartbeatsFor(1500 * time.Millisecond)
+		if got := len(b.runNames()); got != 4 {
+			t.Errorf("%d tasks on the worker that is there, want 4", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/submitter/submitter_test.go
@@ -0,0 +1,41 @@
+package submitter
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/carobrock/carobrock"
+)
+
+func newConfiguration(version int64, prefixes ...string) *carobrock.Configuration {
+	c := &carobrock.Configuration{Version: version}
+	for _, p := range prefixes {
+		c.Queues = append(c.Queues, carobrock.Queue{Name: p, Host: "h", PathPrefix: p})
+	}
+	return c
+}
+
+// After a restart a gateway knows no configuration. It must not say that a queue
+// does not exist before it has one, and must not go back to an older one, in which
+// a queue that was removed still exists.
+func TestRemovedQueueStaysRemoved(t *testing.T) {
+	s := &Submitter{Logger: zerolog.Nop()}
+	if _, _, err := s.MatchQueue("h", "/a/1"); !errors.Is(err, ErrStale) {
+		t.Errorf("without a configuration: %v, want ErrStale", err)
+	}
+	s.applyConfiguration(newConfiguration(7, "/a/"), time.Now())
+	s.applyConfiguration(newConfiguration(6, "/a/", "/removed/"), time.Now())
+	if _, _, err := s.MatchQueue("h", "/removed/1"); !errors.Is(err, ErrNoQueue) {
+		t.Errorf("after an older configuration arrived late: %v, want ErrNoQueue", err)
+	}
+	s.applyConfiguration(nil, time.Now().Add(-2*DefaultStaleAfter))
+	if _, _, err := s.MatchQueue("h", "/removed/1"); !errors.Is(err, ErrStale) {
+		t.Errorf("with a stale configuration: %v, want ErrStale", err)
+	}
+	if _, rest, err := s.MatchQueue("h:80", "/a/1"); err != nil || rest != "1" {
+		t.Errorf("queue of a stale configuration: rest %q, %v", rest, err)
+	}
+}
