Allocator: skip requests that cannot fit, not only of fillers

Change: what an earlier request of the pool could not find, a larger one does not look for, whatever its kind. A step with a label, a limit for each worker, a ticket or workers to avoid says nothing about others.

TestPlaceSkipsOnlyHopelessRequests compares with a version that tries every request; without the check for constraints it fails.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -22,7 +22,7 @@
 // may exceed limit.
 func (a *Allocator) Place(requests []Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
-	unplaceable := map[string]*Request{}
+	unplaceable := map[placementClass]*Request{}
 	for i := range requests {
 		if len(out) >= limit {
 			break
@@ -35,21 +35,41 @@
 			continue
 		}
 		placed := a.placeIndividually(&requests[i], workers, limit-len(out))
-		if len(placed) < len(requests[i].Indices) && requests[i].Step.Filler {
-			unplaceable[requests[i].Step.Image] = &requests[i]
+		if len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit && isUnconstrained(&requests[i]) {
+			unplaceable[classOf(&requests[i])] = &requests[i]
 		}
 		out = append(out, placed...)
 	}
 	return out
 }
 
-// isKnownUnplaceable reports whether an earlier filler request of this call found
-// too few workers and is no harder to place than r, so that r would not find one
-// either. unplaceable holds these requests by image.
-func isKnownUnplaceable(unplaceable map[string]*Request, r *Request) bool {
-	other := unplaceable[r.Step.Image]
-	return r.Step.Filler && other != nil && other.Pool == r.Pool && r.MinPaceFraction >= other.MinPaceFraction &&
-		other.Step.Size.Fits(r.Step.Size) && other.Step.Label == "" && other.Step.MaxPerWorker == 0 && !other.NeedsTicket
+// placementClass is what the eligibility of workers for a request depends on, apart
+// from its size and constraints. Only fillers depend on their image.
+type placementClass struct {
+	pool   string
+	filler bool
+	image  string
+}
+
+func classOf(r *Request) placementClass {
+	if r.Step.Filler {
+		return placementClass{r.Pool, true, r.Step.Image}
+	}
+	return placementClass{pool: r.Pool}
+}
+
+// isUnconstrained reports whether any worker of the pool with enough capacity may
+// run the request.
+func isUnconstrained(r *Request) bool {
+	return r.Step.Label == "" && r.Step.MaxPerWorker == 0 && !r.NeedsTicket && len(r.Avoid) == 0
+}
+
+// isKnownUnplaceable reports whether an earlier request of this call found too few
+// workers and is no harder to place than r, so that r would not find one either.
+// unplaceable holds the last of these requests of each class.
+func isKnownUnplaceable(unplaceable map[placementClass]*Request, r *Request) bool {
+	other := unplaceable[classOf(r)]
+	return other != nil && r.MinPaceFraction >= other.MinPaceFraction && other.Step.Committed().Fits(r.Step.Committed())
 }
 
 // placeIndividually assigns the tasks of a request one at a time, at most limit.
