Locator: leave a leader that does not respond

Workers reached the new leader two seconds after its election.

Change: a replica that did not respond is avoided for half a second. TestCallsLeaveAnUnresponsiveLeader failed first.

Ruled out: a slow election (a second after the last contact, as set), the old leader acting on (it told workers nothing).

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -29,6 +29,10 @@
 	// retryInterval is the delay after a failed attempt that did not yield the
 	// address of the leader.
 	retryInterval = 30 * time.Millisecond
+	// avoidTime is how long a replica that did not respond is not tried again if
+	// others are known, even if one of them names it as the leader: they notice the
+	// loss of a leader within about the same time.
+	avoidTime = 500 * time.Millisecond
 	// maxKnownAddresses limits the number of remembered addresses.
 	maxKnownAddresses = 32
 )
@@ -44,6 +48,9 @@
 	seeds          []string
 	knownAddresses []string // members first, then seeds, then older addresses; tried in this order
 	leader         string
+	// avoidUntil holds the times until which replicas that did not respond are
+	// avoided, by address.
+	avoidUntil map[string]time.Time
 }
 
 // SetSeeds replaces the configured seed addresses.
@@ -91,7 +98,7 @@
 }
 
 // nextAddress returns the leader's address if it is known, else the address for
-// the given attempt.
+// the given attempt among those that are not avoided.
 func (l *Locator) nextAddress(attempt int) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -101,7 +108,17 @@
 	if len(l.knownAddresses) == 0 {
 		return ""
 	}
-	return l.knownAddresses[attempt%len(l.knownAddresses)]
+	now := time.Now()
+	var candidates []string
+	for _, a := range l.knownAddresses {
+		if !now.Before(l.avoidUntil[a]) {
+			candidates = append(candidates, a)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = l.knownAddresses
+	}
+	return candidates[attempt%len(candidates)]
 }
 
 func (l *Locator) setLeader(address string) {
@@ -114,6 +131,29 @@
 	l.leader = address
 }
 
+// avoid marks a replica that did not respond.
+func (l *Locator) avoid(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for a, until := range l.avoidUntil {
+		if now.After(until) {
+			delete(l.avoidUntil, a)
+		}
+	}
+	if l.avoidUntil == nil {
+		l.avoidUntil = map[string]time.Time{}
+	}
+	l.avoidUntil[address] = now.Add(avoidTime)
+}
+
+// isAvoided reports whether a replica did not respond in the last avoidTime.
+func (l *Locator) isAvoided(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().Before(l.avoidUntil[address])
+}
+
 // forgetLeader clears the leader if it is still address.
 func (l *Locator) forgetLeader(address string) {
 	l.mu.Lock()
@@ -166,6 +206,7 @@
 	if !errors.As(err, &remote) {
 		*outcomeUnknown = *outcomeUnknown || !errors.Is(err, messenger.ErrNotSent)
 		l.forgetLeader(address)
+		l.avoid(address)
 		return false
 	}
 	switch remote.Code {
@@ -174,7 +215,7 @@
 		l.forgetLeader(address)
 	case CodeNotLeader:
 		l.forgetLeader(address)
-		if remote.Text != "" && remote.Text != address {
+		if remote.Text != "" && remote.Text != address && !l.isAvoided(remote.Text) {
 			l.setLeader(remote.Text)
 			return true
 		}
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -87,3 +87,37 @@
 		t.Error(err)
 	}
 }
+
+// Guards against calls that keep going to a leader that does not respond, because it
+// is the first known replica or because followers still name it: each call has less
+// time than an attempt.
+func TestCallsLeaveAnUnresponsiveLeader(t *testing.T) {
+	const (
+		callTime     = 900 * time.Millisecond
+		electionTime = time.Second // after the last contact with the old leader
+		maxTime      = 2 * callTime
+	)
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		follower := func(ctx context.Context) ([]byte, error) {
+			if time.Since(began) < electionTime {
+				return redirectTo("a")(ctx)
+			}
+			return redirectTo("c")(ctx)
+		}
+		l := &locator.Locator{RPCClient: fakeReplicas{"a": hangUntilTimeout, "b": follower, "c": answerOK}, Logger: zerolog.Nop()}
+		l.SetSeeds([]string{"a", "b"})
+		for {
+			ctx, cancel := context.WithTimeout(context.Background(), callTime)
+			_, err := l.Call(ctx, "m", nil)
+			cancel()
+			if err == nil {
+				return
+			}
+			l.AddMembers([]string{"a", "b"})
+			if took := time.Since(began); took > maxTime {
+				t.Fatalf("no call succeeded in %v: %v", took, err)
+			}
+		}
+	})
+}
