Launcher: tests wait until the workers have announced themselves

A gateway is ready while no upstream is usable, and the test started its callers before the workers had announced themselves. With a pause of 1.5 s before the announcement the test fails the same way each time; with the wait it passes with that pause, too. The checks of the tests are unchanged.

--- a/internal/launcher/gateways_test.go
+++ b/internal/launcher/gateways_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/emulator"
+	"github.com/carobrock/carobrock/internal/sleeper"
 	"github.com/carobrock/carobrock/pkg/client"
 )
 
@@ -63,9 +65,28 @@
 		s.running.Wait()
 	})
 	s.putTables()
+	s.waitForWorkers()
 	return s
 }
 
+// waitForWorkers waits until the control group knows all workers. A gateway that
+// sees none is ready and refuses requests.
+func (s *testSystem) waitForWorkers() {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for {
+		upstreams, err := s.admin.Get(ctx, "upstreams")
+		missing := slices.ContainsFunc(s.workers, func(w *emulator.Worker) bool { return !strings.Contains(string(upstreams), fmt.Sprintf("%q", w.Name)) })
+		if err == nil && !missing {
+			return
+		}
+		if sleeper.Sleep(ctx, 10*time.Millisecond) != nil {
+			s.t.Fatalf("the workers have not announced themselves: %s, %v", upstreams, err)
+		}
+	}
+}
+
 // start calls fn in a goroutine with a context that stop ends.
 func (s *testSystem) start(fn func(ctx context.Context) error) (stop context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
