--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -87,7 +87,7 @@
 	// losses holds the losses of worker incarnations from their detection until
 	// they are committed. The incarnations get no orders during that time.
 	losses     map[carobrock.WorkerIncarnation]carobrock.LostWorker
-	sorted     []*worker      // sorted by name, nil after a change of workers
+	sorted     []*worker      // workers sorted by name, nil after a change of workers
 	nextChange chan struct{}  // closed at the next state change
 	model      pacer.Model    // interference between filler and service images
 	baseline   pacer.Baseline // tail latencies of services without load
@@ -95,7 +95,7 @@
 	adviceByStep map[carobrock.TaskRef]*advice
 	// modelRecordedAt is when the model was last written to the replicated state.
 	modelRecordedAt time.Time
-	// rhythm chooses the delay of responses to heartbeats.
+	// rhythm chooses how often workers send heartbeats.
 	rhythm rhythm
 	// directWorkers is the number of workers that are directed to this process.
 	directWorkers int
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -189,18 +189,8 @@
 		h.log.extraDelay = 20 * commitTime
 		h.log.mu.Unlock()
 		time.Sleep(200 * time.Millisecond)
-		started := map[string]bool{}
-		for range 40 {
-			time.Sleep(20 * time.Millisecond)
-			calls := conc.NewWaitGroup()
-			calls.Go(func() { h.must(a.sendHeartbeat()) })
-			calls.Go(func() { h.must(b.sendHeartbeat()) })
-			calls.Wait()
-			for _, run := range append(a.runNames(), b.runNames()...) {
-				started[run] = true
-			}
-		}
-		if len(started) != 1 {
+		time.Sleep(20 * time.Millisecond)
+		if started := h.sendHeartbeats(40, a, b); len(started) != 1 {
 			t.Errorf("runs %v started, want one, as no run failed", started)
 		}
 	})
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -227,6 +227,27 @@
 	return nil
 }
 
+// sendHeartbeats sends n heartbeats of each worker, those of different workers at the
+// same time, and returns the names of all runs that the workers had at any time.
+func (h *harness) sendHeartbeats(n int, workers ...*fakeWorker) map[string]bool {
+	h.t.Helper()
+	started := map[string]bool{}
+	for range n {
+		calls := conc.NewWaitGroup()
+		for _, v := range workers {
+			calls.Go(func() { h.must(v.sendHeartbeat()) })
+		}
+		calls.Wait()
+		for _, v := range workers {
+			for _, run := range v.runNames() {
+				started[run] = true
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return started
+}
+
 // sendHeartbeatsFor sends a heartbeat every 40 ms for d.
 func (v *fakeWorker) sendHeartbeatsFor(d time.Duration) {
 	v.h.t.Helper()
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -31,17 +31,7 @@
 		// The loss is proposed in the first placement round after the lease, and
 		// committed some 600 ms later.
 		time.Sleep(200 * time.Millisecond)
-		started := map[string]bool{}
-		for range 40 {
-			calls := conc.NewWaitGroup()
-			calls.Go(func() { h.must(a.sendHeartbeat()) })
-			calls.Go(func() { h.must(b.sendHeartbeat()) })
-			calls.Wait()
-			for _, run := range append(a.runNames(), b.runNames()...) {
-				started[run] = true
-			}
-		}
-		if len(started) != 1 {
+		if started := h.sendHeartbeats(40, a, b); len(started) != 1 {
 			t.Errorf("runs %v started, want one, as no run failed", started)
 		}
 	})
