Clean-up after reading the change: one piece of code for what stood twice

Cause: reading the whole change found code beside its twin. The walk over a job's active runs stood twice in bookkeeper (rebuilding the index, marking workers); it is forEachRun now. The rule which named leader is believed stood in two files of locator; it is adoptLeader. The package comment of dispatcher said that the batcher commits ends of incarnations; the placement loop does. Five dropped results have their reason beside them.

Behaviour is as before; no check, bound or expectation changed.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -205,7 +205,7 @@
 		return nil, nil, nil, ErrQueueFull
 	}
 	w := &waiter{exclude: exclude, slot: make(chan *Slot, 1)}
-	w.deadline, _ = ctx.Deadline()
+	w.deadline, _ = ctx.Deadline() // zero without a deadline
 	if a.isWaitTooLong(p.expectedWait(), now, w.deadline) {
 		return nil, nil, nil, ErrOverloaded
 	}
--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -32,20 +32,11 @@
 	slices.SortFunc(s.ended, func(a, b *Job) int { return int(a.EndedUnixMillis - b.EndedUnixMillis) })
 }
 
+// indexRuns adds the active runs of j to the records of their workers.
 func (s *State) indexRuns(j *Job) {
-	for k, o := range j.Occurrences {
-		if o == nil {
-			continue
-		}
-		for i := range o.Steps {
-			for n := range o.Steps[i].Tasks {
-				ref := carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}
-				for _, r := range o.Steps[i].Tasks[n].Runs {
-					s.workerRecord(r.Incarnation).Runs[carobrock.Run{Task: ref, Attempt: r.Attempt}] = &j.Spec.Steps[i]
-				}
-			}
-		}
-	}
+	j.forEachRun(func(ref carobrock.TaskRef, r *TaskRun) {
+		s.workerRecord(r.Incarnation).Runs[carobrock.Run{Task: ref, Attempt: r.Attempt}] = &j.Spec.Steps[ref.Step]
+	})
 }
 
 // workerRecord returns the record of a worker incarnation and creates it if there
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -28,6 +28,23 @@
 	return j.State == carobrock.JobPending || j.State == carobrock.JobRunning
 }
 
+// forEachRun calls fn for each active run of the job.
+func (j *Job) forEachRun(fn func(ref carobrock.TaskRef, r *TaskRun)) {
+	for k, o := range j.Occurrences {
+		if o == nil {
+			continue
+		}
+		for i := range o.Steps {
+			for n := range o.Steps[i].Tasks {
+				runs := o.Steps[i].Tasks[n].Runs
+				for x := range runs {
+					fn(carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}, &runs[x])
+				}
+			}
+		}
+	}
+}
+
 // Occurrence is the state of one occurrence of a job.
 type Occurrence struct {
 	// Steps has an element for each step.
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -259,7 +259,7 @@
 		s.Pending[j.Spec.Queue]--
 	}
 	j.State, j.EndedUnixMillis = state, atMillis
-	s.markRunsChanged(j)
+	j.forEachRun(func(_ carobrock.TaskRef, r *TaskRun) { s.markChanged(r.Incarnation) })
 	j.Spec.Steps, j.Spec.Payload, j.Occurrences = nil, "", nil
 	s.ended = append(s.ended, j)
 	for i, o := range s.Open {
@@ -270,23 +270,6 @@
 	}
 }
 
-// markRunsChanged marks the records of the workers with active runs of j as
-// changed.
-func (s *State) markRunsChanged(j *Job) {
-	for _, o := range j.Occurrences {
-		if o == nil {
-			continue
-		}
-		for i := range o.Steps {
-			for n := range o.Steps[i].Tasks {
-				for _, r := range o.Steps[i].Tasks[n].Runs {
-					s.markChanged(r.Incarnation)
-				}
-			}
-		}
-	}
-}
-
 // deleteExpiredJobs deletes the jobs that ended before a time in milliseconds
 // since 1970.
 func (s *State) deleteExpiredJobs(beforeMillis int64) {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -121,9 +121,7 @@
 		h.must(a.sendHeartbeat())
 		h.submitJob("job", oneCoreStep(1))
 		a.sendHeartbeatsFor(300 * time.Millisecond)
-		h.log.mu.Lock()
-		h.log.term = 2
-		h.log.mu.Unlock()
+		h.log.setTerm(2)
 		electedAt := time.Now()
 		for time.Since(electedAt) < testLease {
 			h.must(b.sendHeartbeat())
@@ -154,9 +152,7 @@
 		a.endRun(a.report.Running[0].Run, carobrock.EndSucceeded)
 		// The commit of the end waits for another commit while the heartbeat of another
 		// worker wakes the placement loop.
-		h.log.mu.Lock()
-		h.log.extraDelay = 3 * commitTime
-		h.log.mu.Unlock()
+		h.log.delayNextCommit(3 * commitTime)
 		calls := conc.NewWaitGroup()
 		calls.Go(func() { h.submitJob("other", oneCoreStep(1)) })
 		time.Sleep(commitTime / 5)
@@ -185,9 +181,7 @@
 		// The withdrawal is proposed some 600 ms after the heartbeat, and its commit is
 		// slow.
 		time.Sleep(400 * time.Millisecond)
-		h.log.mu.Lock()
-		h.log.extraDelay = 20 * commitTime
-		h.log.mu.Unlock()
+		h.log.delayNextCommit(20 * commitTime)
 		time.Sleep(200 * time.Millisecond)
 		time.Sleep(20 * time.Millisecond)
 		if started := h.sendHeartbeats(40, a, b); len(started) != 1 {
--- a/internal/dispatcher/doc.go
+++ b/internal/dispatcher/doc.go
@@ -3,10 +3,10 @@
 // to heartbeats with orders.
 //
 // Two loops propose commands to the replicated log. The batcher commits
-// external input: jobs, cancellations, ends of runs and of worker incarnations,
-// and operators' changes. It puts everything that arrived while the previous
+// external input: jobs, cancellations, ends of runs and operators' changes. It puts everything that arrived while the previous
 // command was being committed into one command. The placement loop commits
-// assignments, withdrawals of runs, worker losses and the interference model.
+// assignments, withdrawals of runs, losses and ends of worker incarnations and the
+// interference model.
 // The orders to a worker are always derived from the replicated state and the
 // worker's newest heartbeat, so a lost response or a new leader needs no
 // recovery: a recorded run that the heartbeat does not list is started, and a
--- a/internal/dispatcher/load_test.go
+++ b/internal/dispatcher/load_test.go
@@ -50,6 +50,13 @@
 	starts int
 }
 
+// newLoadWorker returns the i-th worker of a fleet.
+func (h *harness) newLoadWorker(i int, cores int64) *loadWorker {
+	v := &loadWorker{fakeWorker: h.newWorker(fmt.Sprintf("w%04d", i), cores), rand: rand.New(rand.NewPCG(loadSeed, uint64(i))), endsAt: map[carobrock.Run]time.Time{}}
+	v.isStalled = true // run sets the progress
+	return v
+}
+
 // run sends heartbeats until ctx ends.
 func (v *loadWorker) run(ctx context.Context) {
 	time.Sleep(time.Duration(v.rand.IntN(100)) * time.Millisecond)
@@ -117,8 +124,7 @@
 	group := conc.NewWaitGroup()
 	fleet := make([]*loadWorker, workers)
 	for i := range fleet {
-		v := &loadWorker{fakeWorker: h.newWorker(fmt.Sprintf("w%04d", i), 16), rand: rand.New(rand.NewPCG(loadSeed, uint64(i))), endsAt: map[carobrock.Run]time.Time{}}
-		v.isStalled = true // run sets the progress
+		v := h.newLoadWorker(i, 16)
 		if i%8 == 0 {
 			v.report.AvailabilityZone = "az2"
 		}
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -43,8 +43,7 @@
 		}))
 		group := conc.NewWaitGroup()
 		for i := range workers {
-			v := &loadWorker{fakeWorker: h.newWorker(fmt.Sprint("w", i), 64), rand: rand.New(rand.NewPCG(loadSeed, uint64(i))), endsAt: map[carobrock.Run]time.Time{}}
-			v.isStalled = true // run sets the progress
+			v := h.newLoadWorker(i, 64)
 			group.Go(func() { v.run(ctx) })
 		}
 		rnd := rand.New(rand.NewPCG(loadSeed, 1))
--- a/internal/dispatcher/pace_test.go
+++ b/internal/dispatcher/pace_test.go
@@ -176,9 +176,7 @@
 		sendBothHeartbeatsFor(2 * time.Second)
 		v.load, other.load = 0.72, 0.72
 		sendBothHeartbeatsFor(5 * time.Second)
-		h.log.mu.Lock()
-		h.log.term = 2
-		h.log.mu.Unlock()
+		h.log.setTerm(2)
 		v.timeOverTarget, v.paceOrders = 0, 0
 		sendBothHeartbeatsFor(3 * time.Second)
 		if v.timeOverTarget > 300*time.Millisecond {
--- a/internal/dumper/dumper.go
+++ b/internal/dumper/dumper.go
@@ -96,5 +96,5 @@
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
-	_ = enc.Encode(out)
+	_ = enc.Encode(out) // fails only if the reader has gone
 }
--- a/internal/emulator/requests.go
+++ b/internal/emulator/requests.go
@@ -141,7 +141,7 @@
 
 func (w *Worker) handleState(rw http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(w.State())
+	_ = json.NewEncoder(rw).Encode(w.State()) // fails only if the caller has gone
 }
 
 // AttemptState is the state of an attempt on the worker.
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -46,7 +46,7 @@
 	_ = json.NewEncoder(rw).Encode(serviceResponse{
 		Worker: w.Name, Method: r.Method, Path: r.URL.Path, RequestID: id,
 		BodyBytes: n, BodyCRC32: hex.EncodeToString(checksum.Sum(nil)), Run: w.served.Add(1),
-	})
+	}) // fails only if the caller has gone
 }
 
 // storeMax sets maximum to n if n is higher.
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -141,7 +141,7 @@
 		case <-groupCtx.Done():
 		}
 		for _, s := range servers {
-			_ = s.Close()
+			_ = s.Close() // the worker ends in any case
 		}
 		stop()
 		return nil
--- a/internal/locator/localfirst.go
+++ b/internal/locator/localfirst.go
@@ -25,9 +25,7 @@
 	if !errors.As(err, &notLeader) {
 		return false
 	}
-	if notLeader.Leader != "" && !n.Remote.isAvoided(notLeader.Leader) {
-		n.Remote.setLeader(notLeader.Leader)
-	}
+	n.Remote.adoptLeader(notLeader.Leader)
 	return true
 }
 
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -147,11 +147,17 @@
 	l.avoidUntil[address] = now.Add(avoidTime)
 }
 
-// isAvoided reports whether a replica did not respond in the last avoidTime.
-func (l *Locator) isAvoided(address string) bool {
+// adoptLeader sets the leader that a replica has named and reports whether it did.
+// It ignores an empty address and that of a replica that is avoided.
+func (l *Locator) adoptLeader(address string) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return time.Now().Before(l.avoidUntil[address])
+	isAvoided := time.Now().Before(l.avoidUntil[address])
+	l.mu.Unlock()
+	if address == "" || isAvoided {
+		return false
+	}
+	l.setLeader(address)
+	return true
 }
 
 // forgetLeader clears the leader if it is still address.
@@ -215,10 +221,7 @@
 		l.forgetLeader(address)
 	case CodeNotLeader:
 		l.forgetLeader(address)
-		if remote.Text != "" && remote.Text != address && !l.isAvoided(remote.Text) {
-			l.setLeader(remote.Text)
-			return true
-		}
+		return remote.Text != address && l.adoptLeader(remote.Text)
 	}
 	return false
 }
--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -153,7 +153,7 @@
 	if err := cbor.Unmarshal(body, request); err != nil {
 		return nil, &messenger.RemoteError{Code: "refused", Text: err.Error()}
 	}
-	replacedID, ok := memberToReplace(r.describeVoters(&s), r.wantVoters(), request)
+	replacedID, ok := memberToReplace(r.describeMembers(&s), r.wantVoters(), request)
 	if !ok || !r.tryBeginAdmission() {
 		return cbor.Marshal(false)
 	}
@@ -211,8 +211,8 @@
 	return r.Voters
 }
 
-// describeVoters returns the members of the group with their availability zones.
-func (r *Recruiter) describeVoters(s *carobrock.ReplicaStatus) []member {
+// describeMembers returns the members of the group with their availability zones.
+func (r *Recruiter) describeMembers(s *carobrock.ReplicaStatus) []member {
 	silentAfter := r.SilentAfter
 	if silentAfter == 0 {
 		silentAfter = DefaultSilentAfter
@@ -233,7 +233,7 @@
 
 // learnZones asks one member whose availability zone is not known for it.
 func (r *Recruiter) learnZones(ctx context.Context, s *carobrock.ReplicaStatus) {
-	for _, m := range r.describeVoters(s) {
+	for _, m := range r.describeMembers(s) {
 		if m.isSelf || m.zone != "" || m.isSilent {
 			continue
 		}
--- a/internal/recruiter/recruiter_test.go
+++ b/internal/recruiter/recruiter_test.go
@@ -33,7 +33,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			r := &Recruiter{}
-			replacedID, ok := memberToReplace(r.describeVoters(&carobrock.ReplicaStatus{ID: 1, Members: test.members}), r.wantVoters(), &test.request)
+			replacedID, ok := memberToReplace(r.describeMembers(&carobrock.ReplicaStatus{ID: 1, Members: test.members}), r.wantVoters(), &test.request)
 			if replacedID != test.wantReplaced || ok != test.wantOK {
 				t.Errorf("replaced member %d, admitted %v; want %d, %v", replacedID, ok, test.wantReplaced, test.wantOK)
 			}
