--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test lint generate
+.PHONY: build run test lint generate regression
 
 build:
 	CGO_ENABLED=1 go build -o bin/carobrock ./cmd/carobrock
@@ -14,3 +14,7 @@
 
 generate:
 	cd internal/encoder && protoc --go_out=. --go_opt=paths=source_relative carobrock.proto
+
+# Needs FLEETBENCH and SITES, see the script.
+regression:
+	tools/measure/regression.sh "$${REASON:-regression run}" $$OPTIONS
