--- a/internal/bookkeeper/ledger_test.go
+++ b/internal/bookkeeper/ledger_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+// Guards against counting a failure twice, which ended a job that had attempts left:
+// a heartbeat that arrives after its worker has left repeats ends that are recorded.
+func TestFailureReportedAgainAfterWorkerLeftCountsOnce(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		step carobrock.Step
+	}{
+		{"single tasks", carobrock.Step{Count: 2}},
+		{"gang", carobrock.Step{Count: 2, Gang: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := newStateMachine(t)
+			l.submitJob("job", test.step)
+			l.applyCommand(&carobrock.JobCommand{Assign: []carobrock.TaskAssignment{newAssignment(0, 0, 1, workerA), newAssignment(0, 1, 1, workerA)}})
+			failed := endsCommand(workerA, newRunEnd(1, 0, 0, 1, carobrock.EndFailed))
+			l.applyCommand(failed)
+			l.applyCommand(&carobrock.JobCommand{Lost: []carobrock.LostWorker{{Incarnation: workerA, IncarnationEnded: true}}})
+			l.applyCommand(failed)
+			if s := l.jobState("job"); s != carobrock.JobRunning {
+				t.Errorf("job state %s after one failure of two, want running", s)
+			}
+		})
+	}
+}
+
 func TestServiceIsNeverDone(t *testing.T) {
 	l := newStateMachine(t)
 	l.submitJob("job", carobrock.Step{Count: 1, Service: true})
