Bookkeeper: ends of an ended worker incarnation still count once

Callers would see a job fail before its attempts were used up. The loss of an ended incarnation deleted its record and with it the number of its last recorded end. A late heartbeat then recorded the ends that it lists a second time. Successes are idempotent, failures are counted.

The record of an ended incarnation now stays, without runs, for the retention time of jobs, after which no job is left that a failure could count for.

Ruled out: dropping the late heartbeat, as it may hold ends that are not recorded yet.

--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -11,7 +11,10 @@
 func (s *State) rebuildIndexes(workers []savedWorker) {
 	for _, x := range workers {
 		rec := s.workerRecord(x.Incarnation)
-		rec.LastEndNumber = x.LastEndNumber
+		rec.LastEndNumber, rec.EndedUnixMillis = x.LastEndNumber, x.EndedUnixMillis
+		if x.EndedUnixMillis != 0 {
+			s.endedWorkers = append(s.endedWorkers, x.Incarnation)
+		}
 		for i := range x.InactiveRuns {
 			r := &x.InactiveRuns[i]
 			rec.Runs[carobrock.Run{Task: r.Task, Attempt: r.Attempt}] = &r.Step
@@ -30,6 +33,9 @@
 	}
 	slices.SortFunc(s.Open, func(a, b *Job) int { return int(a.SubmitNumber) - int(b.SubmitNumber) })
 	slices.SortFunc(s.ended, func(a, b *Job) int { return int(a.EndedUnixMillis - b.EndedUnixMillis) })
+	slices.SortFunc(s.endedWorkers, func(a, b carobrock.WorkerIncarnation) int {
+		return int(s.Workers[a].EndedUnixMillis - s.Workers[b].EndedUnixMillis)
+	})
 }
 
 // indexRuns adds the active runs of j to the records of their workers.
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -99,6 +99,11 @@
 type WorkerRecord struct {
 	// LastEndNumber is the number of the last recorded end of a run.
 	LastEndNumber uint64 `cbor:"1,keyasint"`
+	// EndedUnixMillis is when the end of the incarnation was recorded, in
+	// milliseconds since 1970, zero while it lasts. The record of an ended
+	// incarnation has no runs. It remains for the retention time of jobs, so that
+	// ends in late heartbeats are not counted again.
+	EndedUnixMillis int64 `cbor:"-"`
 	// Runs are the runs that may be running on the worker, with their steps. A run
 	// of an ended job remains until its own end is recorded.
 	Runs map[carobrock.Run]*carobrock.Step `cbor:"-"`
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -21,8 +21,8 @@
 	OutOfServiceZones map[string]bool `cbor:"2,keyasint"`
 	// Jobs holds the jobs by ID. Ended jobs remain for the retention time.
 	Jobs map[string]*Job `cbor:"3,keyasint"`
-	// Workers holds the worker incarnations that have runs or have reported ends of
-	// runs.
+	// Workers holds the worker incarnations that have runs, have reported ends of
+	// runs or have ended.
 	Workers map[carobrock.WorkerIncarnation]*WorkerRecord `cbor:"-"`
 	// Waves holds the maintenance waves by number.
 	Waves map[int64]*Wave `cbor:"4,keyasint"`
@@ -38,6 +38,8 @@
 	Pending map[string]int `cbor:"-"`
 	// ended holds the ended jobs in the order of their ends.
 	ended []*Job
+	// endedWorkers holds the ended worker incarnations in the order of their ends.
+	endedWorkers []carobrock.WorkerIncarnation
 	// changeCount counts the changes of worker records.
 	changeCount uint64
 }
@@ -48,6 +50,8 @@
 	Incarnation   carobrock.WorkerIncarnation `cbor:"1,keyasint"`
 	LastEndNumber uint64                      `cbor:"2,keyasint"`
 	InactiveRuns  []savedInactiveRun          `cbor:"3,keyasint,omitempty"`
+	// EndedUnixMillis is that of the WorkerRecord.
+	EndedUnixMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // savedInactiveRun is a run that is no longer among the active runs of its
@@ -138,8 +142,8 @@
 }
 
 // applyCommand applies the parts of a command in a fixed order, ends of runs
-// and checkpoints before assignments, and deletes the ended jobs whose
-// retention is over.
+// and checkpoints before assignments, and deletes the ended jobs and worker
+// incarnations whose retention is over.
 func (s *State) applyCommand(c *carobrock.JobCommand, retentionMillis int64) *carobrock.JobResult {
 	res := &carobrock.JobResult{}
 	if c.Configuration != nil {
@@ -158,7 +162,7 @@
 		s.recordEnds(&c.Ends[i], c.AtUnixMillis)
 	}
 	for i := range c.Lost {
-		s.recordLostWorker(&c.Lost[i])
+		s.recordLostWorker(&c.Lost[i], c.AtUnixMillis)
 	}
 	for _, w := range c.Withdrawn {
 		s.removeRun(w.Incarnation, carobrock.Run{Task: w.Task, Attempt: w.Attempt})
@@ -181,6 +185,7 @@
 		s.Interference = c.Interference
 	}
 	s.deleteExpiredJobs(c.AtUnixMillis - retentionMillis)
+	s.deleteExpiredWorkers(c.AtUnixMillis - retentionMillis)
 	return res
 }
 
@@ -287,7 +292,9 @@
 	defer m.mu.Unlock()
 	saved := savedState{State: &m.state}
 	for incarnation, x := range m.state.Workers {
-		saved.Workers = append(saved.Workers, savedWorker{Incarnation: incarnation, LastEndNumber: x.LastEndNumber, InactiveRuns: m.state.inactiveRuns(incarnation, x)})
+		saved.Workers = append(saved.Workers, savedWorker{
+			Incarnation: incarnation, LastEndNumber: x.LastEndNumber, InactiveRuns: m.state.inactiveRuns(incarnation, x), EndedUnixMillis: x.EndedUnixMillis,
+		})
 	}
 	return cbor.Marshal(&saved)
 }
--- a/internal/bookkeeper/ledger_test.go
+++ b/internal/bookkeeper/ledger_test.go
@@ -192,6 +192,53 @@
 	})
 }
 
+// Guards against counting a failure again that a departed worker has listed in a late
+// heartbeat: the job failed before its attempts were used up.
+func TestFailureOfADepartedWorkerCountsOnce(t *testing.T) {
+	const leftAt, retention = 1000, 600_000
+	for _, test := range []struct {
+		name string
+		// restore is set if the state goes through a snapshot before the late heartbeat.
+		restore bool
+	}{
+		{name: "late heartbeat"},
+		{name: "late heartbeat after a restore", restore: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := newStateMachine(t)
+			l.submitJob("job", carobrock.Step{Count: 1})
+			l.applyCommand(&carobrock.JobCommand{Assign: []carobrock.TaskAssignment{newAssignment(0, 0, 1, workerA)}})
+			failed := endsCommand(workerA, newRunEnd(1, 0, 0, 1, carobrock.EndFailed))
+			l.applyCommand(failed)
+			l.applyCommand(&carobrock.JobCommand{Lost: []carobrock.LostWorker{{Incarnation: workerA, IncarnationEnded: true}}, AtUnixMillis: leftAt})
+			if test.restore {
+				data, err := l.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := l.Restore(l.index, data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			l.applyCommand(failed)
+			if s := l.jobState("job"); s != carobrock.JobRunning {
+				t.Errorf("job state %s after one failure of two, want running", s)
+			}
+			for _, expiry := range []struct {
+				at   int64
+				want int
+			}{{leftAt + retention - 1, 1}, {leftAt + retention + 1, 0}} {
+				l.applyCommand(&carobrock.JobCommand{AtUnixMillis: expiry.at})
+				l.View(func(s *bookkeeper.State) {
+					if len(s.Workers) != expiry.want {
+						t.Errorf("%d worker records %d ms after the worker left, want %d", len(s.Workers), expiry.at-leftAt, expiry.want)
+					}
+				})
+			}
+		})
+	}
+}
+
 func TestGangEndsTogether(t *testing.T) {
 	l := newStateMachine(t)
 	l.submitJob("job", carobrock.Step{Count: 2, Gang: true})
--- a/internal/bookkeeper/runs.go
+++ b/internal/bookkeeper/runs.go
@@ -169,9 +169,9 @@
 	return false
 }
 
-// recordLostWorker stores the checkpoints of a lost worker incarnation and
-// deletes its runs, and its record if the incarnation has ended.
-func (s *State) recordLostWorker(w *carobrock.LostWorker) {
+// recordLostWorker stores the checkpoints of a lost worker incarnation, deletes its
+// runs and records whether the incarnation has ended.
+func (s *State) recordLostWorker(w *carobrock.LostWorker, atMillis int64) {
 	for i := range w.Checkpoints {
 		s.recordRunCheckpoint(&w.Checkpoints[i])
 	}
@@ -180,11 +180,26 @@
 			s.removeRun(w.Incarnation, r)
 		}
 	}
-	if w.IncarnationEnded {
-		delete(s.Workers, w.Incarnation)
+	if !w.IncarnationEnded {
+		return
+	}
+	if rec := s.workerRecord(w.Incarnation); rec.EndedUnixMillis == 0 {
+		rec.EndedUnixMillis = max(1, atMillis) // zero means that it lasts
+		s.endedWorkers = append(s.endedWorkers, w.Incarnation)
 	}
 }
 
+// deleteExpiredWorkers deletes the records of the worker incarnations that ended
+// before a time in milliseconds since 1970.
+func (s *State) deleteExpiredWorkers(beforeMillis int64) {
+	n := 0
+	for n < len(s.endedWorkers) && s.Workers[s.endedWorkers[n]].EndedUnixMillis < beforeMillis {
+		delete(s.Workers, s.endedWorkers[n])
+		n++
+	}
+	s.endedWorkers = s.endedWorkers[n:]
+}
+
 // recordRunCheckpoint stores the checkpoint of a run if the run is the newest
 // of its task.
 func (s *State) recordRunCheckpoint(c *carobrock.RunCheckpoint) {
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -107,8 +107,8 @@
 		}
 	}
 	d.StateMachine.View(func(s *bookkeeper.State) {
-		for incarnation := range s.Workers {
-			if incarnation.Name == r.Name && incarnation.Started < r.Started {
+		for incarnation, rec := range s.Workers {
+			if incarnation.Name == r.Name && incarnation.Started < r.Started && rec.EndedUnixMillis == 0 {
 				d.addLoss(incarnation, nil, true)
 			}
 		}
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -72,8 +72,7 @@
 	Incarnation WorkerIncarnation `cbor:"1,keyasint"`
 	// Checkpoints lists the newest known checkpoints of its runs.
 	Checkpoints []RunCheckpoint `cbor:"2,keyasint,omitempty"`
-	// IncarnationEnded is set if the incarnation itself has ended, so that its
-	// record can be removed.
+	// IncarnationEnded is set if the incarnation itself has ended.
 	IncarnationEnded bool `cbor:"3,keyasint,omitempty"`
 }
 
