Dispatcher: answer a leaving worker at once

Cause: a worker lists the end of a run only after the response to the heartbeat before. Without orders the leader holds a response for half a period, 450 ms on a leader under load (`period` 900 in its load line). An end in the last part of a leaving worker's life was listed only after the worker had been removed, if at all. A held response lets a start order leave at once; a leaving worker starts nothing, so there is nothing to hold it for. Its next heartbeat is due after a whole period, so the leader does not get more of them. Stop orders to a leaving worker may wait that long.

Evidence, before the change, at a period of 900 ms: TestTaskRanAgainBecauseALeavingWorkerWaitedForItsResponse/as_on_the_day_of_the_report runs [job.0#2] on the other worker and job state "running", want none and "succeeded" and the same in its other two cases.

--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -54,3 +54,11 @@
 	return cmp.Diff(a, b, cmpopts.EquateEmpty(), cmpopts.EquateComparable(carobrock.Run{}),
 		cmpopts.SortSlices(func(a, b carobrock.Run) bool { return fmt.Sprint(a) < fmt.Sprint(b) }))
 }
+
+// SetPeriod makes the time between two heartbeats of a worker at least p until
+// the rhythm is adjusted again.
+func (d *Dispatcher) SetPeriod(p time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rhythm.period, d.rhythm.meanLateness = p, highLateness
+}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -222,10 +222,12 @@
 }
 
 // awaitOrders blocks until there are orders for the worker, a newer heartbeat
-// arrives, the response delay since the given time has passed or ctx is done.
+// arrives, the response delay since the given time has passed or ctx is done. It
+// returns at once for a leaving worker: that one starts nothing, and lists the end
+// of a run only after the response, which may be after its last chance.
 func (d *Dispatcher) awaitOrders(ctx context.Context, w *worker, r *carobrock.WorkerReport, received time.Time) {
 	d.mu.Lock()
-	if w.report != r || d.hasOrders(w) {
+	if w.report != r || r.Leaving || d.hasOrders(w) {
 		d.mu.Unlock()
 		return
 	}
@@ -288,6 +290,9 @@
 		}
 		d.deriveOrders(s, w, response)
 	})
+	if r.Leaving {
+		response.RetryMillis = d.rhythm.currentPeriod().Milliseconds()
+	}
 	w.respondedAt = time.Now()
 	for i := range response.Start {
 		w.startsSent[response.Start[i].Run] = true
