Dispatcher: assign no task while an end of its runs is being committed

Callers would see a task run again after it was done, if its worker left, restarted or was replaced while the end of the run was on its way into the log.

Cause: ends are committed by the batcher, losses and assignments by the placement loop. If the batcher waited for an earlier commit, the loss of the worker and the next assignment of the task overtook an end that the leader had already read. The end then no longer counted, as another run had been assigned.

The placement loop now leaves out tasks with ends that the batcher holds or is committing. It asks the batcher before it looks at the state, so an end that is committed in between is found in one of the two.

Ruled out: that the end is lost with its caller.

--- a/internal/dispatcher/batcher.go
+++ b/internal/dispatcher/batcher.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	next    *carobrock.JobCommand
 	waiters []*waiter
+	// committing is the command that was taken last until it is committed, else nil.
+	committing *carobrock.JobCommand
 }
 
 // waiter receives the result of the command that contains its part. index is the
@@ -60,10 +62,37 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, ws := b.next, b.waiters
-	b.next, b.waiters = &carobrock.JobCommand{}, nil
+	b.next, b.waiters, b.committing = &carobrock.JobCommand{}, nil, c
 	return c, ws
 }
 
+// endCommit records that the command that was taken last has been committed or has
+// failed.
+func (b *commandBatcher) endCommit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.committing = nil
+}
+
+// tasksWithUncommittedEnds returns the tasks of which ends of runs are collected
+// but not committed yet.
+func (b *commandBatcher) tasksWithUncommittedEnds() map[carobrock.TaskRef]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[carobrock.TaskRef]bool{}
+	for _, c := range []*carobrock.JobCommand{b.committing, b.next} {
+		if c == nil {
+			continue
+		}
+		for i := range c.Ends {
+			for _, e := range c.Ends[i].Ends {
+				out[e.Task] = true
+			}
+		}
+	}
+	return out
+}
+
 // runBatcher commits the collected commands until ctx is done.
 func (d *Dispatcher) runBatcher(ctx context.Context) error {
 	for {
@@ -80,6 +109,7 @@
 		term := d.term
 		d.mu.Unlock()
 		res, err := d.proposeCommand(ctx, term, c)
+		d.batcher.endCommit()
 		for _, w := range ws {
 			w.done <- commitResult{result: res, err: err}
 		}
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -99,6 +99,8 @@
 		d.planTime += time.Since(began)
 	}()
 	c := &carobrock.JobCommand{}
+	// An end that is committed in between is found here or in the state.
+	ending := d.batcher.tasksWithUncommittedEnds()
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		d.findLostWorkers(s, now)
 		for _, lost := range d.losses {
@@ -108,7 +110,7 @@
 		d.releaseResponsesWithStops(s)
 		candidates := d.candidateWorkers(s, now)
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
-		requests := d.waitingRequests(s, isFull, candidates, now)
+		requests := d.waitingRequests(s, isFull, ending, candidates, now)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
 			for i := range c.Assign {
@@ -199,11 +201,11 @@
 	}
 }
 
-// waitingRequests returns the waiting tasks that are due, most urgent first.
-// Unless includeAll is set, fillers are left out if some were left over in the last
+// waitingRequests returns the waiting tasks that are due, most urgent first, except
+// those in ending. Unless includeAll is set, fillers are left out if some were left over in the last
 // round that considered all: there are many of them, the loads of services change
 // slowly, and new jobs must not overtake those that wait.
-func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
+func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
 	var ranked []rankedRequest
 	nowMillis := d.Now().UnixMilli()
 	for _, j := range s.Open {
@@ -215,7 +217,7 @@
 				break
 			}
 			for i := range j.Spec.Steps {
-				if r, ok := newRequest(j, o, k, i); ok {
+				if r, ok := newRequest(j, o, k, i, ending); ok {
 					if r.Step.Filler && !includeAll && d.fillersWait {
 						continue
 					}
@@ -268,8 +270,8 @@
 
 // newRequest returns a request for the waiting tasks of a step. It returns false
 // if there are none, or the steps that it depends on are not done, or runs of a
-// gang are still active.
-func newRequest(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int) (allocator.Request, bool) {
+// gang are still active. It leaves out the tasks in ending, as these may be done.
+func newRequest(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int, ending map[carobrock.TaskRef]bool) (allocator.Request, bool) {
 	step := &j.Spec.Steps[i]
 	if o != nil && o.Steps[i].WaitingCount() == 0 || !j.IsReady(o, i) {
 		return allocator.Request{}, false
@@ -294,6 +296,12 @@
 			if t.Done || len(t.Runs) > 0 {
 				continue
 			}
+			if ending[carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}] {
+				if step.Gang {
+					return allocator.Request{}, false
+				}
+				continue
+			}
 		}
 		r.Indices = append(r.Indices, n)
 		r.Attempts = append(r.Attempts, attempt)
