Dispatcher: wait for the last heartbeats of a worker that has ended

Cause: a removal, a restart of the worker under its name or a newer worker on its machine ended the incarnation at once. A heartbeat that was still on its way, held up by a forwarding process or by the leader's lock, then came too late: its ends were dropped with it as those of an earlier incarnation, or no longer counted because the task had been assigned again.

- The loss of an ended incarnation is proposed a second after its end, the time for which a worker waits for a response.
A task that was lost with its worker starts elsewhere up to a second later than before.
- The ends in an overtaken heartbeat are recorded.
They count unless another run was assigned in the meantime.
- An incarnation that is known to have ended does not return to the worker table.
It took the place of a worker that is directed to the leader.

Evidence, before the change: TestTaskRanAgainAfterItsWorkerLeft/removal_overtakes_by_far runs [job.0#2] on the other worker and job state "running", want none and "succeeded" and the same in six other cases (removal overtakes by a commit or during one, forwarded, restart, newer worker, zone change at the removal). TestLateHeartbeatOfADepartedWorkerTakesNoPlace a worker was not directed to the leader although the one before has left

Ruled out: a change of leadership between removal and heartbeat (it passed before: the new leader waits for the leases), and ordering the removal by sequence, as a removal carries none.

--- a/internal/dispatcher/departure_test.go
+++ b/internal/dispatcher/departure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/dispatcher"
 	"github.com/carobrock/carobrock/internal/locator"
 	"github.com/carobrock/carobrock/internal/sleeper"
@@ -135,6 +138,14 @@
 		v.report.Started, v.report.Machine = 2, "m-a"
 		v.sendHeartbeatsFor(80 * time.Millisecond)
 	}
+	withdrawZone := func(h *harness) {
+		h.must(h.d.SetZone(context.Background(), carobrock.ZoneChange{Name: "az9", OutOfService: true}))
+		leave(h)
+	}
+	changeTerm := func(h *harness) {
+		leave(h)
+		h.log.setTerm(2)
+	}
 	for _, test := range []struct {
 		name string
 		// event ends the worker incarnation after eventAfter.
@@ -152,9 +163,19 @@
 		{name: "removal during the commit", event: leave, eventAfter: 5 * time.Millisecond},
 		{name: "removal during a long commit", event: leave, eventAfter: 5 * time.Millisecond, commitDelay: 800 * time.Millisecond},
 		{name: "removal during a longer commit", event: leave, eventAfter: 5 * time.Millisecond, commitDelay: 2 * time.Second},
+		{name: "removal overtakes the heartbeat", event: leave, heartbeatDelay: 5 * time.Millisecond},
+		{name: "removal overtakes by a commit", event: leave, heartbeatDelay: 25 * time.Millisecond},
+		{name: "removal overtakes by far", event: leave, heartbeatDelay: 700 * time.Millisecond},
+		{name: "removal overtakes, long commit", event: leave, heartbeatDelay: 700 * time.Millisecond, commitDelay: 800 * time.Millisecond},
+		{name: "forwarded", event: leave, eventAfter: 5 * time.Millisecond, heartbeatDelay: time.Millisecond, forwarded: true},
+		{name: "forwarded, removal overtakes", event: leave, heartbeatDelay: 300 * time.Millisecond, forwarded: true},
 		{name: "caller leaves during the commit", event: leave, eventAfter: 5 * time.Millisecond, commitDelay: 300 * time.Millisecond, callerLeavesAfter: 6 * time.Millisecond},
 		{name: "restart during the commit", event: restart, eventAfter: 5 * time.Millisecond, commitDelay: 800 * time.Millisecond},
+		{name: "restart overtakes the heartbeat", event: restart, heartbeatDelay: 300 * time.Millisecond},
 		{name: "newer worker during the commit", event: replace, eventAfter: 5 * time.Millisecond, commitDelay: 800 * time.Millisecond},
+		{name: "newer worker overtakes the heartbeat", event: replace, heartbeatDelay: 300 * time.Millisecond},
+		{name: "zone change at the removal", event: withdrawZone, heartbeatDelay: 300 * time.Millisecond},
+		{name: "new leader after the removal", event: changeTerm, heartbeatDelay: 300 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -196,3 +217,186 @@
 		})
 	}
 }
+
+// Guards against waiting for the ends of a departed worker for long.
+func TestTaskOfADepartedWorkerRunsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		_, b := h.newLeavingWorker("job")
+		h.must(h.d.RemoveWorker(context.Background(), "a"))
+		b.sendHeartbeatsFor(1500 * time.Millisecond)
+		if got := b.runNames(); len(got) != 1 || got[0] != "job.0#2" {
+			t.Errorf("runs %v 1.5 s after the worker left, want the second attempt", got)
+		}
+	})
+}
+
+// Guards against keeping a departed worker whose heartbeat arrives after its loss was
+// recorded: it took the place of a worker that is directed to the leader.
+func TestLateHeartbeatOfADepartedWorkerTakesNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := prepareHarness(t)
+		h.d.WorkerAddress, h.d.Settings.MaxDirectWorkers = "leader:1", 1
+		h.start(nil)
+		defer h.stop()
+		a := h.newWorker("a", 4)
+		a.report.Leaving = true
+		h.must(a.sendHeartbeat())
+		h.must(h.d.RemoveWorker(context.Background(), "a"))
+		time.Sleep(2 * time.Second)
+		h.must(a.sendHeartbeat())
+		b := h.newWorker("b", 4)
+		h.must(b.sendHeartbeat())
+		if b.lastResponse.NextAddress == "" {
+			t.Error("a worker was not directed to the leader although the one before has left")
+		}
+	})
+}
+
+// departureSeeds is the number of random orders of events that are tried.
+const departureSeeds = 40
+
+// reportedEnds is the naive reference: the times at which the heartbeats that list
+// the successful end of a task were sent.
+type reportedEnds map[carobrock.TaskRef]time.Time
+
+// Guards against starting a task again after its end was reported, in random orders
+// of heartbeats, removals, restarts, replacements, slow commits and new terms.
+func TestNoTaskStartsAfterItsEndWasReported(t *testing.T) {
+	for seed := range uint64(departureSeeds) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				newDepartureRun(h, seed).play()
+			})
+		})
+	}
+}
+
+// departureRun plays random departures of workers.
+type departureRun struct {
+	h       *harness
+	rnd     *rand.Rand
+	reports reportedEnds
+	calls   *conc.WaitGroup
+}
+
+func newDepartureRun(h *harness, seed uint64) *departureRun {
+	return &departureRun{h: h, rnd: rand.New(rand.NewPCG(seed, 24)), reports: reportedEnds{}, calls: conc.NewWaitGroup()}
+}
+
+func (p *departureRun) play() {
+	var fleet []*fakeWorker
+	for _, name := range []string{"a", "b", "c", "d"} {
+		fleet = append(fleet, p.h.newWorker(name, 2))
+	}
+	for round := range 8 {
+		p.h.submitJob(fmt.Sprintf("job%d", round), oneCoreStep(4))
+		for range 10 {
+			p.step(fleet)
+		}
+		i := p.rnd.IntN(len(fleet))
+		fleet[i] = p.depart(fleet[i], round)
+		if p.rnd.IntN(3) == 0 {
+			p.h.log.delayNextCommit(p.randomDelay(600))
+		}
+		if p.rnd.IntN(4) == 0 {
+			p.h.log.setTerm(uint64(round) + 2)
+		}
+	}
+	for range 60 {
+		p.step(fleet)
+	}
+	p.calls.Wait()
+	p.checkReportedTasks()
+}
+
+// checkReportedTasks checks that all tasks whose ends were reported are done.
+func (p *departureRun) checkReportedTasks() {
+	p.h.stateMachine.View(func(s *bookkeeper.State) {
+		for ref := range p.reports {
+			if _, _, t := s.Task(ref); t != nil && !t.Done {
+				p.h.t.Errorf("task %v is not done although its end was reported", ref)
+			}
+		}
+	})
+}
+
+func (p *departureRun) randomDelay(maxMillis int) time.Duration {
+	return time.Duration(p.rnd.IntN(maxMillis)) * time.Millisecond
+}
+
+// step ends some runs and sends a heartbeat of each worker.
+func (p *departureRun) step(fleet []*fakeWorker) {
+	heartbeats := conc.NewWaitGroup()
+	for _, v := range fleet {
+		p.endSomeRuns(v)
+		p.recordReport(v)
+		v.lastResponse = &carobrock.HeartbeatResponse{}
+		heartbeats.Go(func() { _ = v.sendHeartbeat() }) // it fails if the term ends during the commit
+	}
+	heartbeats.Wait()
+	for _, v := range fleet {
+		for _, s := range v.lastResponse.Start {
+			if at, ok := p.reports[s.Run.Task]; ok {
+				p.h.t.Errorf("run %v started on %s %s after the end of the task was reported", s.Run, v.report.Name, time.Since(at))
+			}
+		}
+	}
+	time.Sleep(p.randomDelay(40))
+}
+
+func (p *departureRun) endSomeRuns(v *fakeWorker) {
+	for i := len(v.report.Running) - 1; i >= 0; i-- {
+		if p.rnd.IntN(8) == 0 {
+			v.endRun(v.report.Running[i].Run, carobrock.EndSucceeded)
+		}
+	}
+}
+
+func (p *departureRun) recordReport(v *fakeWorker) {
+	for _, e := range v.report.Ends {
+		if _, ok := p.reports[e.Task]; !ok && e.Kind == carobrock.EndSucceeded {
+			p.reports[e.Task] = time.Now()
+		}
+	}
+}
+
+// depart ends a worker incarnation in a random way while its last heartbeat is on
+// its way, and returns its successor.
+func (p *departureRun) depart(v *fakeWorker, round int) *fakeWorker {
+	successor := p.h.newWorker(v.report.Name, 2)
+	successor.report.Started = v.report.Started + 1
+	how := p.rnd.IntN(3)
+	switch how {
+	case 0: // the worker leaves as planned
+		v.report.Leaving = true
+		p.h.must(v.sendHeartbeat())
+		successor.report.Name, successor.report.Machine = fmt.Sprintf("n%d", round), fmt.Sprintf("m-n%d", round)
+	case 1: // the worker restarts under its name
+	case 2: // another worker starts on the machine
+		successor.report.Name, successor.report.Machine = fmt.Sprintf("n%d", round), v.report.Machine
+	}
+	p.endSomeRuns(v)
+	p.recordReport(v)
+	last, delay := v.nextReport(), p.randomDelay(950)
+	p.calls.Go(func() {
+		time.Sleep(delay)
+		for {
+			if _, err := p.h.d.Heartbeat(context.Background(), last); err == nil {
+				return
+			}
+			time.Sleep(time.Millisecond) // the forwarding process finds the new leader
+		}
+	})
+	if how == 0 {
+		removalDelay, name := p.randomDelay(100), v.report.Name
+		p.calls.Go(func() {
+			time.Sleep(removalDelay)
+			p.h.must(p.h.d.RemoveWorker(context.Background(), name))
+		})
+	}
+	return successor
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -86,7 +86,7 @@
 	workers   map[string]*worker // by name
 	// losses holds the losses of worker incarnations from their detection until
 	// they are committed. The incarnations get no orders during that time.
-	losses     map[carobrock.WorkerIncarnation]carobrock.LostWorker
+	losses     map[carobrock.WorkerIncarnation]pendingLoss
 	sorted     []*worker      // workers sorted by name, nil after a change of workers
 	nextChange chan struct{}  // closed at the next state change
 	model      pacer.Model    // interference between filler and service images
@@ -134,7 +134,7 @@
 	d.wakeup = make(chan struct{}, 1)
 	d.nextChange = make(chan struct{})
 	d.workers = map[string]*worker{}
-	d.losses = map[carobrock.WorkerIncarnation]carobrock.LostWorker{}
+	d.losses = map[carobrock.WorkerIncarnation]pendingLoss{}
 	d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 	d.adviceByStep = map[carobrock.TaskRef]*advice{}
 	d.adviceRequests = make(chan adviceRequest, maxAdviceRequests)
@@ -189,7 +189,7 @@
 			w.releaseResponse()
 		}
 		d.workers, d.sorted = map[string]*worker{}, nil
-		d.losses = map[carobrock.WorkerIncarnation]carobrock.LostWorker{}
+		d.losses = map[carobrock.WorkerIncarnation]pendingLoss{}
 		d.directWorkers = 0
 		d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 		d.StateMachine.View(func(s *bookkeeper.State) { d.model, d.baseline = pacer.Import(s.Interference) })
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -25,20 +25,21 @@
 		return nil, err
 	}
 	w, isNewest := d.recordHeartbeat(r, received)
+	if err := d.recordEnds(ctx, w, r); err != nil {
+		return nil, err
+	}
 	if !isNewest {
-		// The heartbeat was overtaken by a newer one, so its report is outdated and its
+		// The heartbeat was overtaken, so the rest of its report is outdated and its
 		// sender no longer waits for the response.
 		return &carobrock.HeartbeatResponse{}, nil
 	}
-	if err := d.recordEnds(ctx, w, r); err != nil {
-		return nil, err
-	}
 	d.awaitOrders(ctx, w, r, received)
 	return d.buildResponse(w, r, received)
 }
 
 // recordHeartbeat stores a heartbeat in the worker table. It returns false if a
-// newer heartbeat or a newer incarnation of the worker is already known.
+// newer heartbeat, a newer incarnation of the worker or the end of its incarnation
+// is already known.
 func (d *Dispatcher) recordHeartbeat(r *carobrock.WorkerReport, now time.Time) (*worker, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -49,7 +50,7 @@
 			return nil, false
 		}
 	} else {
-		if w != nil && r.Started < w.report.Started || d.isSuperseded(r) {
+		if w != nil && r.Started < w.report.Started || d.isSuperseded(r) || d.hasEnded(r.WorkerIncarnation) {
 			return nil, false
 		}
 		if w != nil {
@@ -94,6 +95,17 @@
 	return false
 }
 
+// hasEnded reports whether a worker incarnation has ended, even if that is not
+// committed yet. d.mu must be held.
+func (d *Dispatcher) hasEnded(incarnation carobrock.WorkerIncarnation) bool {
+	ended := d.losses[incarnation].IncarnationEnded
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		rec := s.Workers[incarnation]
+		ended = ended || rec != nil && rec.EndedUnixMillis != 0
+	})
+	return ended
+}
+
 // endEarlierIncarnations records the end of earlier incarnations on the machine
 // of r, or under its name. It does nothing if r names no machine. d.mu must be
 // held.
@@ -141,13 +153,31 @@
 	}
 }
 
-// addLoss adds the loss of a worker incarnation, which the next placement round
-// proposes. Checkpoints are included if w is not nil. incarnationEnded is set if
-// the incarnation itself has ended. d.mu must be held.
+// heartbeatTransit is the longest time from the sending of a heartbeat to its
+// arrival at the leader without a partition: a worker sends its report to another
+// process after a second without a response.
+const heartbeatTransit = time.Second
+
+// pendingLoss is the loss of a worker incarnation that is not committed yet.
+type pendingLoss struct {
+	carobrock.LostWorker
+	// dueAt is when the loss may be proposed.
+	dueAt time.Time
+}
+
+// addLoss adds the loss of a worker incarnation, which a placement round proposes.
+// Checkpoints are included if w is not nil. incarnationEnded is set if the
+// incarnation itself has ended. Its last heartbeats may then still be on their way,
+// so that its loss is due when they have arrived. d.mu must be held.
 func (d *Dispatcher) addLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
-	lost := d.losses[incarnation]
+	lost, isKnown := d.losses[incarnation]
 	lost.Incarnation = incarnation
-	lost.IncarnationEnded = lost.IncarnationEnded || incarnationEnded
+	if incarnationEnded && !lost.IncarnationEnded {
+		lost.IncarnationEnded = true
+		if !isKnown {
+			lost.dueAt = time.Now().Add(heartbeatTransit)
+		}
+	}
 	if w != nil {
 		lost.Checkpoints = w.checkpoints()
 		w.releaseResponse()
@@ -175,7 +205,7 @@
 }
 
 // recordEnds commits the reported ends of runs that the replicated state does not
-// yet hold.
+// yet hold. w is nil if the heartbeat was overtaken.
 func (d *Dispatcher) recordEnds(ctx context.Context, w *worker, r *carobrock.WorkerReport) error {
 	last := d.lastEndNumber(r.WorkerIncarnation)
 	var ends []carobrock.RunEnd
@@ -187,7 +217,9 @@
 	if len(ends) == 0 {
 		return nil
 	}
-	d.recordOutcomes(w, ends)
+	if w != nil {
+		d.recordOutcomes(w, ends)
+	}
 	_, _, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Ends = append(c.Ends, carobrock.WorkerEnds{Incarnation: r.WorkerIncarnation, Ends: ends})
 		return 0
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -104,7 +104,9 @@
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		d.findLostWorkers(s, now)
 		for _, lost := range d.losses {
-			c.Lost = append(c.Lost, lost)
+			if !now.Before(lost.dueAt) {
+				c.Lost = append(c.Lost, lost.LostWorker)
+			}
 		}
 		d.withdrawUnstartedRuns(s, now, c)
 		d.releaseResponsesWithStops(s)
