Dispatcher: log ends that arrive late, and how a worker was heard of last

"worker incarnation ended" now has the sequence number and age of the newest heartbeat, and whether its response was held at that moment: then an end that is missing was never listed. "end of a run arrived late" names run, worker, sequence number and time since the end of the worker, whether the heartbeat was overtaken, and whether another run had been assigned, so that the end does not count. Shown by TestLateEndsAreLogged.

--- a/internal/dispatcher/departure_test.go
+++ b/internal/dispatcher/departure_test.go
@@ -1,10 +1,12 @@
 package dispatcher_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -218,6 +220,42 @@
 	}
 }
 
+// The log tells whether an end arrived late, and whether it still counted.
+func TestLateEndsAreLogged(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay time.Duration
+		want  []string
+	}{
+		{"before the loss is recorded", 500 * time.Millisecond, []string{`"overtaken":true`, `"superseded":false`, `"sinceWorkerEnded":500`}},
+		{"after another run was assigned", 3 * time.Second, []string{`"overtaken":true`, `"superseded":true`, `"attempt":1`}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := prepareHarness(t)
+				log := &bytes.Buffer{}
+				h.d.Logger = zerolog.New(zerolog.SyncWriter(log))
+				h.start(nil)
+				a, b := h.newLeavingWorker("job")
+				h.must(h.d.RemoveWorker(context.Background(), "a"))
+				calls := conc.NewWaitGroup()
+				calls.Go(func() { b.sendHeartbeatsFor(test.delay) })
+				time.Sleep(test.delay)
+				a.endRun(a.report.Running[0].Run, carobrock.EndSucceeded)
+				h.must(a.sendHeartbeat())
+				calls.Wait()
+				h.stop()
+				_, line, _ := strings.Cut(log.String(), "worker incarnation ended")
+				for _, want := range append(test.want, "end of a run arrived late") {
+					if !strings.Contains(line, want) {
+						t.Errorf("log after the removal lacks %s:\n%s", want, line)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against waiting for the ends of a departed worker for long.
 func TestTaskOfADepartedWorkerRunsElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -131,9 +131,10 @@
 // table and records its loss together with its newest checkpoints. d.mu must be
 // held.
 func (d *Dispatcher) endIncarnation(w *worker, reason string) {
-	d.removeWorker(w)
 	d.Logger.Info().Str("worker", w.report.Name).Int64("started", w.report.Started).Int("runs", len(w.reported)).
+		Uint64("sequence", w.report.Sequence).Dur("sinceHeartbeat", time.Since(w.receivedAt)).Bool("responseHeld", w.pendingResponse != nil).
 		Str("reason", reason).Msg("dispatcher: worker incarnation ended")
+	d.removeWorker(w)
 	d.addLoss(w.report.WorkerIncarnation, w, true)
 }
 
@@ -161,8 +162,14 @@
 // pendingLoss is the loss of a worker incarnation that is not committed yet.
 type pendingLoss struct {
 	carobrock.LostWorker
-	// dueAt is when the loss may be proposed.
-	dueAt time.Time
+	// endedAt is when the end of the incarnation was noticed, zero if the leases of
+	// its runs had expired before.
+	endedAt time.Time
+}
+
+// isDue reports whether the loss may be proposed.
+func (l *pendingLoss) isDue(now time.Time) bool {
+	return !now.Before(l.endedAt.Add(heartbeatTransit))
 }
 
 // addLoss adds the loss of a worker incarnation, which a placement round proposes.
@@ -175,7 +182,7 @@
 	if incarnationEnded && !lost.IncarnationEnded {
 		lost.IncarnationEnded = true
 		if !isKnown {
-			lost.dueAt = time.Now().Add(heartbeatTransit)
+			lost.endedAt = time.Now()
 		}
 	}
 	if w != nil {
@@ -217,6 +224,7 @@
 	if len(ends) == 0 {
 		return nil
 	}
+	d.logLateEnds(r, ends, w == nil)
 	if w != nil {
 		d.recordOutcomes(w, ends)
 	}
@@ -238,6 +246,39 @@
 	return n
 }
 
+// logLateEnds logs the ends in an overtaken heartbeat, and those of runs after which
+// another run of the task was assigned. A success among the latter does not count.
+func (d *Dispatcher) logLateEnds(r *carobrock.WorkerReport, ends []carobrock.RunEnd, isOvertaken bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		for i := range ends {
+			e := &ends[i]
+			_, _, t := s.Task(e.Task)
+			isSuperseded := t != nil && t.Attempt > e.Attempt
+			if !isOvertaken && !isSuperseded {
+				continue
+			}
+			d.Logger.Warn().Str("worker", r.Name).Int64("started", r.Started).Uint64("sequence", r.Sequence).
+				Str("job", e.Task.Job).Int("occurrence", e.Task.Occurrence).Int("step", e.Task.Step).Int("index", e.Task.Index).
+				Uint64("attempt", e.Attempt).Str("kind", string(e.Kind)).Bool("overtaken", isOvertaken).Bool("superseded", isSuperseded).
+				Dur("sinceWorkerEnded", d.sinceEnd(s, r.WorkerIncarnation)).Msg("dispatcher: end of a run arrived late")
+		}
+	})
+}
+
+// sinceEnd returns the time since the end of a worker incarnation, zero if it has
+// not ended. d.mu must be held.
+func (d *Dispatcher) sinceEnd(s *bookkeeper.State, incarnation carobrock.WorkerIncarnation) time.Duration {
+	if lost := d.losses[incarnation]; !lost.endedAt.IsZero() {
+		return time.Since(lost.endedAt)
+	}
+	if rec := s.Workers[incarnation]; rec != nil && rec.EndedUnixMillis != 0 {
+		return heartbeatTransit + d.Now().Sub(time.UnixMilli(rec.EndedUnixMillis))
+	}
+	return 0
+}
+
 // recordOutcomes updates the worker's failure statistics with ended runs.
 func (d *Dispatcher) recordOutcomes(w *worker, ends []carobrock.RunEnd) {
 	d.mu.Lock()
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -104,7 +104,7 @@
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		d.findLostWorkers(s, now)
 		for _, lost := range d.losses {
-			if !now.Before(lost.dueAt) {
+			if lost.isDue(now) {
 				c.Lost = append(c.Lost, lost.LostWorker)
 			}
 		}
