Dispatcher: stop the runs of a worker that a late removal has ended

Callers would see a task run twice at once. A removal names no incarnation, so a late one from an earlier incarnation ends a later one of the same name if that is leaving too. The worker still ran its tasks when they were assigned again. Since an ended incarnation no longer returns to the worker table, it also got no stop orders, and its runs went on until their leases expired.

The response to a heartbeat of an ended incarnation now stops all its runs.

Ruled out: taking the removal back when the worker is heard of again, as a heartbeat that the removal has overtaken looks the same. Remains: with a heartbeat every 900 ms, and up to 400 ms for a stop, a run may still end after the task was assigned again.

--- a/internal/dispatcher/departure_test.go
+++ b/internal/dispatcher/departure_test.go
@@ -292,6 +292,43 @@
 	})
 }
 
+// Guards against two runs of a task at once after a late removal from an earlier
+// incarnation has ended a leaving worker.
+func TestWorkerThatWasRemovedByMistakeStopsItsRuns(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		period time.Duration
+	}{
+		{"idle leader", 140 * time.Millisecond},
+		{"leader under load", 450 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				a, b := h.newLeavingWorker("job")
+				h.must(h.d.RemoveWorker(context.Background(), "a"))
+				calls := conc.NewWaitGroup()
+				calls.Go(func() { b.sendHeartbeatsFor(6 * time.Second) })
+				for range int(6 * time.Second / test.period) {
+					time.Sleep(test.period)
+					runs := len(a.runNames())
+					h.must(a.sendHeartbeat())
+					h.stateMachine.View(func(s *bookkeeper.State) {
+						if _, _, task := s.Task(carobrock.TaskRef{Job: "job"}); runs > 0 && task.Attempt > 1 {
+							t.Errorf("attempt %d was assigned while the worker still had a run", task.Attempt)
+						}
+					})
+				}
+				calls.Wait()
+				if got := b.runNames(); len(a.runNames()) > 0 || len(got) != 1 || got[0] != "job.0#2" {
+					t.Errorf("runs %v on the removed worker and %v on the other, want none and the second attempt", a.runNames(), got)
+				}
+			})
+		})
+	}
+}
+
 // departureSeeds is the number of random orders of events that are tried.
 const departureSeeds = 40
 
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -29,9 +29,7 @@
 		return nil, err
 	}
 	if !isNewest {
-		// The heartbeat was overtaken, so the rest of its report is outdated and its
-		// sender no longer waits for the response.
-		return &carobrock.HeartbeatResponse{}, nil
+		return d.respondToOvertaken(r)
 	}
 	d.awaitOrders(ctx, w, r, received)
 	return d.buildResponse(w, r, received)
@@ -375,12 +373,42 @@
 	if end := latestLeaseExpiry(received, d.Settings.Lease); end.After(w.leaseExpiry) {
 		w.leaseExpiry = end
 	}
-	if term, ok := d.Leadership.Term(); !ok || term != response.FencingToken {
-		return nil, &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
+	if err := d.checkTerm(response.FencingToken); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// respondToOvertaken returns the response to a heartbeat that was overtaken. It is
+// empty after a newer heartbeat, as the sender no longer waits for it. After the end
+// of the incarnation it stops all runs: if a late removal from an earlier incarnation
+// has ended a worker that still runs, its tasks are about to start elsewhere.
+func (d *Dispatcher) respondToOvertaken(r *carobrock.WorkerReport) (*carobrock.HeartbeatResponse, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	response := &carobrock.HeartbeatResponse{}
+	if !d.hasEnded(r.WorkerIncarnation) {
+		return response, nil
+	}
+	response.FencingToken, response.AckedThrough = d.term, d.lastEndNumber(r.WorkerIncarnation)
+	for i := range r.Running {
+		response.Stop = append(response.Stop, r.Running[i].Run)
+	}
+	if err := d.checkTerm(response.FencingToken); err != nil {
+		return nil, err
 	}
 	return response, nil
 }
 
+// checkTerm returns a *locator.NotLeaderError unless this replica leads in the
+// given term. d.mu must be held.
+func (d *Dispatcher) checkTerm(term uint64) error {
+	if current, ok := d.Leadership.Term(); !ok || current != term {
+		return &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
+	}
+	return nil
+}
+
 // latestLeaseExpiry returns the time by which a lease granted in response to a
 // heartbeat received at the given time has certainly expired on the worker's
 // clock.
