--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -25,20 +25,19 @@
 		return nil, err
 	}
 	w, isNewest := d.recordHeartbeat(r, received)
-	if !isNewest {
-		// The heartbeat was overtaken by a newer one, so its report is outdated and its
-		// sender no longer waits for the response.
-		return &carobrock.HeartbeatResponse{}, nil
-	}
 	if err := d.recordEnds(ctx, w, r); err != nil {
 		return nil, err
 	}
+	if !isNewest {
+		return d.respondToOvertaken(r)
+	}
 	d.awaitOrders(ctx, w, r, received)
 	return d.buildResponse(w, r, received)
 }
 
 // recordHeartbeat stores a heartbeat in the worker table. It returns false if a
-// newer heartbeat or a newer incarnation of the worker is already known.
+// newer heartbeat, a newer incarnation of the worker or the end of its incarnation
+// is already known.
 func (d *Dispatcher) recordHeartbeat(r *carobrock.WorkerReport, now time.Time) (*worker, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -49,7 +48,7 @@
 			return nil, false
 		}
 	} else {
-		if w != nil && r.Started < w.report.Started || d.isSuperseded(r) {
+		if w != nil && r.Started < w.report.Started || d.isSuperseded(r) || d.hasEnded(r.WorkerIncarnation) {
 			return nil, false
 		}
 		if w != nil {
@@ -94,6 +93,17 @@
 	return false
 }
 
+// hasEnded reports whether a worker incarnation has ended, even if that is not
+// committed yet. d.mu must be held.
+func (d *Dispatcher) hasEnded(incarnation carobrock.WorkerIncarnation) bool {
+	ended := d.losses[incarnation].IncarnationEnded
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		rec := s.Workers[incarnation]
+		ended = ended || rec != nil && rec.EndedUnixMillis != 0
+	})
+	return ended
+}
+
 // endEarlierIncarnations records the end of earlier incarnations on the machine
 // of r, or under its name. It does nothing if r names no machine. d.mu must be
 // held.
@@ -107,8 +117,8 @@
 		}
 	}
 	d.StateMachine.View(func(s *bookkeeper.State) {
-		for incarnation := range s.Workers {
-			if incarnation.Name == r.Name && incarnation.Started < r.Started {
+		for incarnation, rec := range s.Workers {
+			if incarnation.Name == r.Name && incarnation.Started < r.Started && rec.EndedUnixMillis == 0 {
 				d.addLoss(incarnation, nil, true)
 			}
 		}
@@ -119,9 +129,10 @@
 // table and records its loss together with its newest checkpoints. d.mu must be
 // held.
 func (d *Dispatcher) endIncarnation(w *worker, reason string) {
-	d.removeWorker(w)
 	d.Logger.Info().Str("worker", w.report.Name).Int64("started", w.report.Started).Int("runs", len(w.reported)).
+		Uint64("sequence", w.report.Sequence).Dur("sinceHeartbeat", time.Since(w.receivedAt)).Bool("responseHeld", w.pendingResponse != nil).
 		Str("reason", reason).Msg("dispatcher: worker incarnation ended")
+	d.removeWorker(w)
 	d.addLoss(w.report.WorkerIncarnation, w, true)
 }
 
@@ -141,13 +152,37 @@
 	}
 }
 
-// addLoss adds the loss of a worker incarnation, which the next placement round
-// proposes. Checkpoints are included if w is not nil. incarnationEnded is set if
-// the incarnation itself has ended. d.mu must be held.
+// heartbeatTransit is the longest time from the sending of a heartbeat to its
+// arrival at the leader without a partition: a worker sends its report to another
+// process after a second without a response.
+const heartbeatTransit = time.Second
+
+// pendingLoss is the loss of a worker incarnation that is not committed yet.
+type pendingLoss struct {
+	carobrock.LostWorker
+	// endedAt is when the end of the incarnation was noticed, zero if the leases of
+	// its runs had expired before.
+	endedAt time.Time
+}
+
+// isDue reports whether the loss may be proposed.
+func (l *pendingLoss) isDue(now time.Time) bool {
+	return !now.Before(l.endedAt.Add(heartbeatTransit))
+}
+
+// addLoss adds the loss of a worker incarnation, which a placement round proposes.
+// Checkpoints are included if w is not nil. incarnationEnded is set if the
+// incarnation itself has ended. Its last heartbeats may then still be on their way,
+// so that its loss is due when they have arrived. d.mu must be held.
 func (d *Dispatcher) addLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
-	lost := d.losses[incarnation]
+	lost, isKnown := d.losses[incarnation]
 	lost.Incarnation = incarnation
-	lost.IncarnationEnded = lost.IncarnationEnded || incarnationEnded
+	if incarnationEnded && !lost.IncarnationEnded {
+		lost.IncarnationEnded = true
+		if !isKnown {
+			lost.endedAt = time.Now()
+		}
+	}
 	if w != nil {
 		lost.Checkpoints = w.checkpoints()
 		w.releaseResponse()
@@ -175,7 +210,7 @@
 }
 
 // recordEnds commits the reported ends of runs that the replicated state does not
-// yet hold.
+// yet hold. w is nil if the heartbeat was overtaken.
 func (d *Dispatcher) recordEnds(ctx context.Context, w *worker, r *carobrock.WorkerReport) error {
 	last := d.lastEndNumber(r.WorkerIncarnation)
 	var ends []carobrock.RunEnd
@@ -187,7 +222,10 @@
 	if len(ends) == 0 {
 		return nil
 	}
-	d.recordOutcomes(w, ends)
+	d.logLateEnds(r, ends, w == nil)
+	if w != nil {
+		d.recordOutcomes(w, ends)
+	}
 	_, _, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Ends = append(c.Ends, carobrock.WorkerEnds{Incarnation: r.WorkerIncarnation, Ends: ends})
 		return 0
@@ -206,6 +244,39 @@
 	return n
 }
 
+// logLateEnds logs the ends in an overtaken heartbeat, and those of runs after which
+// another run of the task was assigned. A success among the latter does not count.
+func (d *Dispatcher) logLateEnds(r *carobrock.WorkerReport, ends []carobrock.RunEnd, isOvertaken bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		for i := range ends {
+			e := &ends[i]
+			_, _, t := s.Task(e.Task)
+			isSuperseded := t != nil && t.Attempt > e.Attempt
+			if !isOvertaken && !isSuperseded {
+				continue
+			}
+			d.Logger.Warn().Str("worker", r.Name).Int64("started", r.Started).Uint64("sequence", r.Sequence).
+				Str("job", e.Task.Job).Int("occurrence", e.Task.Occurrence).Int("step", e.Task.Step).Int("index", e.Task.Index).
+				Uint64("attempt", e.Attempt).Str("kind", string(e.Kind)).Bool("overtaken", isOvertaken).Bool("superseded", isSuperseded).
+				Dur("sinceWorkerEnded", d.sinceEnd(s, r.WorkerIncarnation)).Msg("dispatcher: end of a run arrived late")
+		}
+	})
+}
+
+// sinceEnd returns the time since the end of a worker incarnation, zero if it has
+// not ended. d.mu must be held.
+func (d *Dispatcher) sinceEnd(s *bookkeeper.State, incarnation carobrock.WorkerIncarnation) time.Duration {
+	if lost := d.losses[incarnation]; !lost.endedAt.IsZero() {
+		return time.Since(lost.endedAt)
+	}
+	if rec := s.Workers[incarnation]; rec != nil && rec.EndedUnixMillis != 0 {
+		return heartbeatTransit + d.Now().Sub(time.UnixMilli(rec.EndedUnixMillis))
+	}
+	return 0
+}
+
 // recordOutcomes updates the worker's failure statistics with ended runs.
 func (d *Dispatcher) recordOutcomes(w *worker, ends []carobrock.RunEnd) {
 	d.mu.Lock()
@@ -222,10 +293,12 @@
 }
 
 // awaitOrders blocks until there are orders for the worker, a newer heartbeat
-// arrives, the response delay since the given time has passed or ctx is done.
+// arrives, the response delay since the given time has passed or ctx is done. It
+// returns at once for a leaving worker: that one starts nothing, and lists the end
+// of a run only after the response, which may be after its last chance.
 func (d *Dispatcher) awaitOrders(ctx context.Context, w *worker, r *carobrock.WorkerReport, received time.Time) {
 	d.mu.Lock()
-	if w.report != r || d.hasOrders(w) {
+	if w.report != r || r.Leaving || d.hasOrders(w) {
 		d.mu.Unlock()
 		return
 	}
@@ -288,6 +361,9 @@
 		}
 		d.deriveOrders(s, w, response)
 	})
+	if r.Leaving {
+		response.RetryMillis = d.rhythm.currentPeriod().Milliseconds()
+	}
 	w.respondedAt = time.Now()
 	for i := range response.Start {
 		w.startsSent[response.Start[i].Run] = true
@@ -297,12 +373,42 @@
 	if end := latestLeaseExpiry(received, d.Settings.Lease); end.After(w.leaseExpiry) {
 		w.leaseExpiry = end
 	}
-	if term, ok := d.Leadership.Term(); !ok || term != response.FencingToken {
-		return nil, &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
+	if err := d.checkTerm(response.FencingToken); err != nil {
+		return nil, err
 	}
 	return response, nil
 }
 
+// respondToOvertaken returns the response to a heartbeat that was overtaken. It is
+// empty after a newer heartbeat, as the sender no longer waits for it. After the end
+// of the incarnation it stops all runs: if a late removal from an earlier incarnation
+// has ended a worker that still runs, its tasks are about to start elsewhere.
+func (d *Dispatcher) respondToOvertaken(r *carobrock.WorkerReport) (*carobrock.HeartbeatResponse, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	response := &carobrock.HeartbeatResponse{}
+	if !d.hasEnded(r.WorkerIncarnation) {
+		return response, nil
+	}
+	response.FencingToken, response.AckedThrough = d.term, d.lastEndNumber(r.WorkerIncarnation)
+	for i := range r.Running {
+		response.Stop = append(response.Stop, r.Running[i].Run)
+	}
+	if err := d.checkTerm(response.FencingToken); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// checkTerm returns a *locator.NotLeaderError unless this replica leads in the
+// given term. d.mu must be held.
+func (d *Dispatcher) checkTerm(term uint64) error {
+	if current, ok := d.Leadership.Term(); !ok || current != term {
+		return &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
+	}
+	return nil
+}
+
 // latestLeaseExpiry returns the time by which a lease granted in response to a
 // heartbeat received at the given time has certainly expired on the worker's
 // clock.
