Dispatcher: runs that are being stopped count against the capacity

Seen in the test: a worker came back after its loss was committed (a heartbeat that was held up) and still listed a run of three cores that was no longer in its record. It got a stop order for it, and in the same response or the next a start order for another run, five cores on a worker of four.

Cause: the free capacity was the reported one less the recorded runs. A run that the heartbeat lists but that is not recorded did not count.

Such runs now count until the worker reports their ends. Their size comes from the job, or from an earlier look at it. If the job has ended meanwhile the size is unknown, and the worker gets no new runs until the end is reported.

--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -54,6 +54,7 @@
 			v.inactive = append(v.inactive, run)
 		}
 	}
+	w.steps = w.findSteps(s, rec)
 	return v
 }
 
@@ -68,10 +69,12 @@
 			Capacity: r.Capacity, Free: r.Capacity, SpareMilliCPU: r.Capacity.MilliCPU,
 			FailureRate: w.outcomes.failureRate(now), ServicesByImage: map[string]int{},
 		}
-		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
+		rec := s.Workers[r.WorkerIncarnation]
+		if rec != nil {
 			v.candidate.Services = w.describeServices(&d.baseline, now)
 			d.subtractRuns(v.candidate, w, rec)
 		}
+		w.subtractUnrecordedRuns(v.candidate, rec)
 	}
 	v.candidate.HasPendingResponse = w.pendingResponse != nil
 	return v.candidate
@@ -98,6 +101,9 @@
 		if d.isBeingLost(w.report.WorkerIncarnation) || !d.mayStartRuns(s, w) || w.isSilent(now) {
 			continue
 		}
+		if w.updateView(s); w.hasUnknownRun() {
+			continue
+		}
 		out = append(out, d.candidate(s, w, now))
 	}
 	return out
