Dispatcher: no start on a worker that has shrunk below what it would hold

Seen in the tests: a run was assigned to a worker of four cores, the worker reported two cores in its next heartbeat, and the response to that heartbeat told it to start the run of three. The same after a lost response and under a new leader, and for the memory of a filler.

Cause: a recorded run was started whatever the capacity in the heartbeat that the response answers; capacity was considered only at placement.

The view of a worker now holds the active runs that do not fit beside what the heartbeat lists, in a fixed order. They are not started, and are withdrawn and placed elsewhere. Being derived from the record and the newest heartbeat, this holds for a new leader too. A run whose start order was sent in the response to the newest heartbeat is not withdrawn, as before.

--- a/internal/dispatcher/capacity.go
+++ b/internal/dispatcher/capacity.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
@@ -26,6 +29,44 @@
 	return steps
 }
 
+// findExcess returns the active runs that wait for their start on the worker and
+// do not fit in the reported capacity beside those that it lists as running. Runs
+// that are being stopped count as running until their ends are reported.
+func (w *worker) findExcess(s *bookkeeper.State, rec *bookkeeper.WorkerRecord) map[carobrock.Run]bool {
+	var active []carobrock.Run
+	for _, run := range w.view.unstarted {
+		if s.IsActive(w.report.WorkerIncarnation, run) {
+			active = append(active, run)
+		}
+	}
+	if len(active) == 0 {
+		return nil
+	}
+	free := w.report.Capacity
+	for _, step := range w.steps {
+		if step != nil {
+			free = free.Sub(step.Committed())
+		}
+	}
+	slices.SortFunc(active, compareRuns)
+	excess := map[carobrock.Run]bool{}
+	for _, run := range active {
+		committed := rec.Runs[run].Committed()
+		if w.hasUnknownRun() || !committed.Fits(free) {
+			excess[run] = true
+			continue
+		}
+		free = free.Sub(committed)
+	}
+	return excess
+}
+
+// compareRuns orders runs by job, position in the job and attempt.
+func compareRuns(a, b carobrock.Run) int {
+	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
+}
+
 // hasUnknownRun reports whether the worker lists a run whose size is unknown, so
 // that its free capacity is unknown.
 func (w *worker) hasUnknownRun() bool {
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -332,9 +332,9 @@
 }
 
 // isStartable reports whether a recorded run that the worker does not have may be
-// started on it. d.mu must be held.
+// started on it. The view of the worker must be up to date and d.mu must be held.
 func (d *Dispatcher) isStartable(s *bookkeeper.State, w *worker, run carobrock.Run) bool {
-	return d.mayStartRuns(s, w) && !w.withdrawalProposed[run] && s.IsActive(w.report.WorkerIncarnation, run)
+	return d.mayStartRuns(s, w) && !w.withdrawalProposed[run] && !w.view.excess[run] && s.IsActive(w.report.WorkerIncarnation, run)
 }
 
 // mayStartRuns reports whether the worker may start new runs: it is not leaving,
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -180,9 +180,9 @@
 			if w.startsSent[run] {
 				continue
 			}
-			if silent || !d.mayStartRuns(s, w) || !s.IsActive(w.report.WorkerIncarnation, run) || w.withdrawalProposed[run] {
+			if silent || !d.mayStartRuns(s, w) || !s.IsActive(w.report.WorkerIncarnation, run) || w.withdrawalProposed[run] || v.excess[run] {
 				w.withdrawalProposed[run] = true
-				d.Logger.Info().Str("worker", name).Str("job", run.Task.Job).Uint64("attempt", run.Attempt).Bool("silent", silent).Msg("dispatcher: proposing to withdraw a run that its worker has not started")
+				d.Logger.Info().Str("worker", name).Str("job", run.Task.Job).Uint64("attempt", run.Attempt).Bool("silent", silent).Bool("exceedsCapacity", v.excess[run]).Msg("dispatcher: proposing to withdraw a run that its worker has not started")
 				c.Withdrawn = append(c.Withdrawn, carobrock.WithdrawnRun{Incarnation: w.report.WorkerIncarnation, Task: run.Task, Attempt: run.Attempt})
 			}
 		}
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -23,6 +23,9 @@
 	// active.
 	unstarted []carobrock.Run
 	inactive  []carobrock.Run
+	// excess holds the active runs among unstarted that do not fit in the reported
+	// capacity beside the running ones.
+	excess map[carobrock.Run]bool
 	// candidate describes the worker to the allocator, nil if it must be derived
 	// again.
 	candidate *allocator.Worker
@@ -55,6 +58,7 @@
 		}
 	}
 	w.steps = w.findSteps(s, rec)
+	v.excess = w.findExcess(s, rec)
 	return v
 }
 
