Dispatcher tests: no start exceeds the reported capacity, at random

A seeded test (8 seeds of 40 s) with workers that start whatever they are told to, whose capacity changes at random, which lose responses, fall silent and stop slowly, under a new leader now and then. Each start is compared with a naive sum of what runs on the worker, against the capacity in the heartbeat that the start answers.

--- a/internal/dispatcher/capacity_test.go
+++ b/internal/dispatcher/capacity_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 )
@@ -166,3 +169,187 @@
 		}
 	})
 }
+
+const (
+	capacitySeeds    = 8
+	capacityDuration = 40 * time.Second
+	// maxStopTime is the maximum time that an unguarded worker takes to stop a run.
+	maxStopTime = 900 * time.Millisecond
+)
+
+// unguardedWorker simulates a worker that starts whatever it is told to start, whose
+// capacity changes at random. It loses responses and is silent now and then.
+type unguardedWorker struct {
+	*fakeWorker
+	rand *rand.Rand
+	// steps holds the steps of all jobs. It does not change.
+	steps map[string]carobrock.Step
+	// stopsAt holds when each run that is being stopped ends, endsAt when the others
+	// end by themselves.
+	stopsAt, endsAt map[carobrock.Run]time.Time
+	leaseEnd        time.Time
+	fencingToken    uint64
+	starts, stops   int
+}
+
+// committed returns what the running runs take up, those that are being stopped
+// included.
+func (v *unguardedWorker) committed() (cpu, memory, accelerators int64) {
+	for _, x := range v.report.Running {
+		step := v.steps[x.Task.Job]
+		if !step.Filler {
+			cpu += step.Size.MilliCPU
+		}
+		memory += step.Size.MemoryMB
+		accelerators += step.Size.Accelerators
+	}
+	return cpu, memory, accelerators
+}
+
+// endDueRuns ends the runs whose time has come or whose lease has expired.
+func (v *unguardedWorker) endDueRuns() {
+	now := time.Now()
+	for i := len(v.report.Running) - 1; i >= 0; i-- {
+		x := &v.report.Running[i]
+		stopsAt, isStopping := v.stopsAt[x.Run]
+		switch {
+		case now.After(v.leaseEnd):
+			v.endRun(x.Run, carobrock.EndLeaseExpired)
+		case isStopping && now.After(stopsAt):
+			v.endRun(x.Run, carobrock.EndStopped)
+		case isService(x.Run):
+			x.Percent, x.TailMillis = 100, 30
+		case !isStopping && now.After(v.endsAt[x.Run]):
+			v.endRun(x.Run, carobrock.EndSucceeded)
+		default:
+			x.Percent = min(99, x.Percent+1)
+		}
+	}
+}
+
+// carryOut carries out the orders in a response and checks each start against the
+// capacity in the heartbeat that it answers.
+func (v *unguardedWorker) carryOut(response *carobrock.HeartbeatResponse, reported carobrock.Capacity, sentAt time.Time) {
+	if response.FencingToken < v.fencingToken {
+		return
+	}
+	v.fencingToken = response.FencingToken
+	for len(v.report.Ends) > 0 && v.report.Ends[0].Number <= response.AckedThrough {
+		v.report.Ends = v.report.Ends[1:]
+	}
+	if end := sentAt.Add(time.Duration(response.LeaseMillis) * time.Millisecond); end.After(v.leaseEnd) {
+		v.leaseEnd = end
+	}
+	for _, s := range response.Start {
+		v.starts++
+		v.report.Running = append(v.report.Running, carobrock.RunReport{Run: s.Run})
+		v.endsAt[s.Run] = time.Now().Add(time.Duration(500+v.rand.IntN(6000)) * time.Millisecond)
+		if cpu, memory, accelerators := v.committed(); cpu > reported.MilliCPU || memory > reported.MemoryMB || accelerators > reported.Accelerators {
+			v.h.t.Errorf("start of %v brings worker %s to %d, %d, %d of %+v", s.Run, v.report.Name, cpu, memory, accelerators, reported)
+		}
+	}
+	for _, run := range response.Stop {
+		if _, ok := v.stopsAt[run]; !ok {
+			v.stops++
+			v.stopsAt[run] = time.Now().Add(time.Duration(v.rand.Int64N(int64(maxStopTime))))
+		}
+	}
+}
+
+// run sends heartbeats until ctx ends.
+func (v *unguardedWorker) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		v.endDueRuns()
+		if v.rand.IntN(15) == 0 {
+			v.report.Capacity = carobrock.Capacity{MilliCPU: 1000 * v.rand.Int64N(9), MemoryMB: 1000 * v.rand.Int64N(9), Accelerators: v.rand.Int64N(3)}
+		}
+		v.report.Sequence++
+		r, sentAt := v.report, time.Now()
+		r.Running = append([]carobrock.RunReport(nil), v.report.Running...)
+		r.Ends = append([]carobrock.RunEnd(nil), v.report.Ends...)
+		response, err := v.h.d.Heartbeat(ctx, &r)
+		isLost := v.rand.IntN(8) == 0
+		v.endDueRuns()
+		if err == nil && !isLost {
+			v.carryOut(response, r.Capacity, sentAt)
+		}
+		if v.rand.IntN(300) == 0 {
+			time.Sleep(testLease + time.Duration(v.rand.Int64N(int64(2*time.Second)))) // silent
+		}
+		time.Sleep(time.Duration(20+v.rand.IntN(130)) * time.Millisecond)
+	}
+}
+
+// randomStep returns a step of a random kind and size.
+func randomStep(rnd *rand.Rand) carobrock.Step {
+	step := carobrock.Step{
+		Count: 1 + rnd.IntN(4), EstimateMillis: 2000,
+		Size: carobrock.Capacity{MilliCPU: 500 * (1 + rnd.Int64N(5)), MemoryMB: 500 * rnd.Int64N(5), Accelerators: rnd.Int64N(12) / 11},
+	}
+	switch rnd.IntN(4) {
+	case 0:
+		step.Filler, step.Image, step.Checkpoints = true, "light", rnd.IntN(2) == 0
+	case 1:
+		step.Gang = true
+	}
+	return step
+}
+
+func TestNoStartExceedsReportedCapacity(t *testing.T) {
+	for seed := range uint64(capacitySeeds) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { checkStarts(t, seed) }) })
+	}
+}
+
+func checkStarts(t *testing.T, seed uint64) {
+	h := newHarness(t)
+	defer h.stop()
+	rnd := rand.New(rand.NewPCG(seed, 0))
+	steps := map[string]carobrock.Step{}
+	var ids []string
+	for i := range 400 {
+		id := fmt.Sprint("j", i)
+		steps[id] = randomStep(rnd)
+		if i%20 == 0 {
+			id = fmt.Sprint("s", i)
+			steps[id] = carobrock.Step{Count: 2, Service: true, Image: "svc", TailTargetMillis: targetMillis, MaxUnavailable: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 500}}
+		}
+		ids = append(ids, id)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	group := conc.NewWaitGroup()
+	var fleet []*unguardedWorker
+	for i := range 4 {
+		v := &unguardedWorker{
+			fakeWorker: h.newWorker(fmt.Sprint("w", i), 8), rand: rand.New(rand.NewPCG(seed, uint64(i+1))), steps: steps,
+			stopsAt: map[carobrock.Run]time.Time{}, endsAt: map[carobrock.Run]time.Time{},
+		}
+		fleet = append(fleet, v)
+		group.Go(func() { v.run(ctx) })
+	}
+	began, submitted := time.Now(), 0
+	for term := uint64(1); time.Since(began) < capacityDuration; time.Sleep(100 * time.Millisecond) {
+		if rnd.IntN(3) == 0 && submitted < len(ids) {
+			h.submitJob(ids[submitted], steps[ids[submitted]])
+			submitted++
+		}
+		if rnd.IntN(10) == 0 && submitted > 0 {
+			h.cancelJob(ids[rnd.IntN(submitted)])
+		}
+		if rnd.IntN(40) == 0 {
+			term++
+			h.log.setTerm(term)
+		}
+	}
+	cancel()
+	group.Wait()
+	starts, stops := 0, 0
+	for _, v := range fleet {
+		starts += v.starts
+		stops += v.stops
+	}
+	t.Logf("%d jobs, %d starts, %d stops", submitted, starts, stops)
+	if starts < submitted {
+		t.Errorf("%d starts for %d jobs", starts, submitted)
+	}
+}
