Dispatcher: a worker that has shrunk is brought down to its capacity

What would be seen: a worker that reports less capacity than its running tasks take up kept them all, however long the shortage lasted.

A shorter dip evicts nothing.

--- a/internal/dispatcher/capacity.go
+++ b/internal/dispatcher/capacity.go
@@ -42,12 +42,7 @@
 	if len(active) == 0 {
 		return nil
 	}
-	free := w.report.Capacity
-	for _, step := range w.steps {
-		if step != nil {
-			free = free.Sub(step.Committed())
-		}
-	}
+	free := w.view.free
 	slices.SortFunc(active, compareRuns)
 	excess := map[carobrock.Run]bool{}
 	for _, run := range active {
@@ -67,6 +62,17 @@
 		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
 }
 
+// logCapacityChange logs if the reported capacity of the worker differs from that in
+// the previous heartbeat, nil if there is none.
+func (d *Dispatcher) logCapacityChange(s *bookkeeper.State, w *worker, previous *carobrock.WorkerReport) {
+	if previous == nil || previous.Capacity == w.report.Capacity {
+		return
+	}
+	committed := w.report.Capacity.Sub(w.updateView(s).free)
+	d.Logger.Info().Str("worker", w.report.Name).Interface("from", previous.Capacity).Interface("to", w.report.Capacity).
+		Interface("committed", committed).Msg("dispatcher: capacity of a worker has changed")
+}
+
 // hasUnknownRun reports whether the worker lists a run whose size is unknown, so
 // that its free capacity is unknown.
 func (w *worker) hasUnknownRun() bool {
--- a/internal/dispatcher/capacity_test.go
+++ b/internal/dispatcher/capacity_test.go
@@ -353,3 +353,81 @@
 		t.Errorf("%d starts for %d jobs", starts, submitted)
 	}
 }
+
+func TestShrunkWorkerIsBroughtDownToItsCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+		h.must(a.sendHeartbeat())
+		h.submitJob("job", oneCoreStep(4))
+		a.sendHeartbeatsFor(300 * time.Millisecond)
+		a.report.Capacity.MilliCPU = 2000
+		started := h.sendHeartbeats(50, a, b)
+		if len(a.runNames()) != 2 || len(b.runNames()) != 2 || len(started) != 6 {
+			t.Errorf("runs %v on the worker that has shrunk to two cores, %v on the other; started in all: %v", a.runNames(), b.runNames(), started)
+		}
+	})
+}
+
+func TestShortDipOfCapacityEvictsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a := h.newWorker("a", 4)
+		h.must(a.sendHeartbeat())
+		h.submitJob("job", oneCoreStep(4))
+		a.sendHeartbeatsFor(300 * time.Millisecond)
+		for range 4 {
+			a.report.Capacity.MilliCPU = 1000
+			a.sendHeartbeatsFor(1500 * time.Millisecond)
+			a.report.Capacity.MilliCPU = 4000
+			a.sendHeartbeatsFor(300 * time.Millisecond)
+		}
+		if diff := cmp.Diff([]string{"job.0#1", "job.1#1", "job.2#1", "job.3#1"}, a.runNames(), ignoreOrder); diff != "" {
+			t.Errorf("runs (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Services are evicted one at a time, as their step allows: the next one only after
+// the one before it serves elsewhere.
+func TestEvictionForCapacityRespectsMaxUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+		a.isStalled, b.isStalled = true, true
+		h.must(a.sendHeartbeat())
+		h.submitJob("svc", carobrock.Step{Count: 3, Service: true, Image: "svc", TailTargetMillis: targetMillis, MaxUnavailable: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}})
+		a.sendHeartbeatsFor(300 * time.Millisecond)
+		if len(a.runNames()) != 3 {
+			t.Fatalf("runs %v, want 3", a.runNames())
+		}
+		sendHeartbeats := func(d time.Duration, workers ...*fakeWorker) {
+			for until := time.Now().Add(d); time.Now().Before(until); {
+				serving := 0
+				for _, v := range workers {
+					for i := range v.report.Running {
+						v.report.Running[i].Percent, v.report.Running[i].TailMillis = 100, 30
+						serving++
+					}
+				}
+				if serving < 2 {
+					t.Fatalf("%d of 3 tasks serve", serving)
+				}
+				h.sendHeartbeats(1, workers...)
+			}
+		}
+		sendHeartbeats(300*time.Millisecond, a)
+		a.report.Capacity.MilliCPU = 1000
+		sendHeartbeats(5*time.Second, a)
+		if got := len(a.runNames()); got != 2 {
+			t.Errorf("%d tasks remain while the first has no other worker, want 2", got)
+		}
+		sendHeartbeats(5*time.Second, a, b)
+		if len(a.runNames()) != 1 || len(b.runNames()) != 2 {
+			t.Errorf("runs %v on the worker that has shrunk to one core, %v on the other", a.runNames(), b.runNames())
+		}
+	})
+}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -72,8 +72,10 @@
 		d.Logger.Info().Str("worker", r.Name).Int64("remainingMillis", r.RemainingMillis).Msg("dispatcher: worker is leaving")
 	}
 	w.releaseResponse()
+	previous := w.report
 	w.updateReport(r, now)
 	d.StateMachine.View(func(s *bookkeeper.State) {
+		d.logCapacityChange(s, w, previous)
 		d.updateLoadEstimates(s, w, now)
 		d.updatePaces(s, w, now)
 		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -121,6 +121,7 @@
 			d.rhythm.adjust()
 			d.logLoad(s, now)
 			d.moveSlowedFillers(s, candidates, now)
+			d.evictShortages(s, now)
 			d.dropStaleAdvice(now)
 		}
 	})
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -26,6 +26,9 @@
 	// excess holds the active runs among unstarted that do not fit in the reported
 	// capacity beside the running ones.
 	excess map[carobrock.Run]bool
+	// free is the reported capacity less the running runs whose steps are known. It
+	// may be negative.
+	free carobrock.Capacity
 	// candidate describes the worker to the allocator, nil if it must be derived
 	// again.
 	candidate *allocator.Worker
@@ -58,6 +61,12 @@
 		}
 	}
 	w.steps = w.findSteps(s, rec)
+	v.free = w.report.Capacity
+	for _, step := range w.steps {
+		if step != nil {
+			v.free = v.free.Sub(step.Committed())
+		}
+	}
 	v.excess = w.findExcess(s, rec)
 	return v
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -49,6 +49,9 @@
 	// stopReasons holds the reason for each run that is to be stopped although its
 	// task is not done.
 	stopReasons map[carobrock.Run]string
+	// shortSince is since when the running tasks have exceeded the reported capacity,
+	// zero if they do not.
+	shortSince time.Time
 	// throttles holds the throttle of each run that has one; paceChangedAt is the
 	// time of the last pace change.
 	throttles     map[carobrock.Run]*throttle
