Dispatcher: the view of a worker is derived without a map of its steps

Only runs that are not recorded are kept in a map now; there are rarely any.

CheckViews also compares the free capacity and the runs that do not fit, and the random test calls it ten times a second.

--- a/internal/dispatcher/capacity.go
+++ b/internal/dispatcher/capacity.go
@@ -9,24 +9,20 @@
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 )
 
-// findSteps returns the steps of the runs that the report lists as running. The
-// step of a run that is not recorded is that of its task, or the one found for
-// an earlier report. It is nil if neither is known.
-func (w *worker) findSteps(s *bookkeeper.State, rec *bookkeeper.WorkerRecord) map[carobrock.Run]*carobrock.Step {
-	steps := make(map[carobrock.Run]*carobrock.Step, len(w.reported))
+// findUnrecorded updates w.unrecorded. The step of a run that is not recorded is that
+// of its task, or the one found for an earlier report.
+func (w *worker) findUnrecorded(s *bookkeeper.State, rec *bookkeeper.WorkerRecord) {
+	unrecorded := map[carobrock.Run]*carobrock.Step{}
 	for run := range w.reported {
-		step := w.steps[run]
 		if rec != nil && rec.Runs[run] != nil {
-			step = rec.Runs[run]
+			continue
 		}
-		if step == nil {
-			if j, _, t := s.Task(run.Task); t != nil {
-				step = &j.Spec.Steps[run.Task.Step]
-			}
+		unrecorded[run] = w.unrecorded[run]
+		if j, _, t := s.Task(run.Task); t != nil {
+			unrecorded[run] = &j.Spec.Steps[run.Task.Step]
 		}
-		steps[run] = step
 	}
-	return steps
+	w.unrecorded = unrecorded
 }
 
 // findExcess returns the active runs that wait for their start on the worker and
@@ -74,9 +70,9 @@
 }
 
 // hasUnknownRun reports whether the worker lists a run whose size is unknown, so
-// that its free capacity is unknown.
+// that its free capacity is unknown. The view of the worker must be up to date.
 func (w *worker) hasUnknownRun() bool {
-	for _, step := range w.steps {
+	for _, step := range w.unrecorded {
 		if step == nil {
 			return true
 		}
@@ -85,14 +81,13 @@
 }
 
 // subtractUnrecordedRuns subtracts the runs that the worker lists as running but
-// that are not recorded, for example those of a lost worker that has returned. They take
-// up capacity until the worker reports their ends.
-func (w *worker) subtractUnrecordedRuns(v *allocator.Worker, rec *bookkeeper.WorkerRecord) {
-	for run, step := range w.steps {
-		if step == nil || rec != nil && rec.Runs[run] != nil {
-			continue
+// that are not recorded, for example after its loss if it returns. They take up
+// capacity until the worker reports their ends.
+func (w *worker) subtractUnrecordedRuns(v *allocator.Worker) {
+	for _, step := range w.unrecorded {
+		if step != nil {
+			v.Free = v.Free.Sub(step.Committed())
+			v.SpareMilliCPU -= expectedUse(step)
 		}
-		v.Free = v.Free.Sub(step.Committed())
-		v.SpareMilliCPU -= expectedUse(step)
 	}
 }
--- a/internal/dispatcher/capacity_test.go
+++ b/internal/dispatcher/capacity_test.go
@@ -340,6 +340,7 @@
 			term++
 			h.log.setTerm(term)
 		}
+		h.must(h.d.CheckViews())
 	}
 	cancel()
 	group.Wait()
--- a/internal/dispatcher/evict.go
+++ b/internal/dispatcher/evict.go
@@ -135,11 +135,12 @@
 // evictableRuns returns the runs on the worker that are not being stopped, and what
 // is committed to them.
 func (w *worker) evictableRuns(s *bookkeeper.State) (runs []evictable, committed carobrock.Capacity) {
+	rec := s.Workers[w.report.WorkerIncarnation]
 	for run, x := range w.reported {
 		if w.stopReasons[run] != "" || !s.IsActive(w.report.WorkerIncarnation, run) {
 			continue
 		}
-		step := w.steps[run]
+		step := rec.Runs[run]
 		runs = append(runs, evictable{run: run, step: step, percent: x.Percent})
 		committed = committed.Add(step.Committed())
 	}
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,12 +37,14 @@
 	now := time.Now()
 	cached := *d.candidate(s, w, now)
 	unstarted, inactive := slices.Clone(w.view.unstarted), slices.Clone(w.view.inactive)
+	excess, free := slices.Collect(maps.Keys(w.view.excess)), w.view.free
 	w.view = workerView{}
 	fresh := *d.candidate(s, w, now)
 	for _, diff := range []string{
 		cmp.Diff(fresh, cached, cmpopts.IgnoreFields(allocator.Worker{}, "FailureRate"), cmpopts.IgnoreFields(pacer.Service{}, "Load", "Limit", "OverTarget"),
 			cmpopts.SortSlices(func(a, b pacer.Service) bool { return a.Image < b.Image }), cmpopts.EquateComparable(carobrock.WorkerIncarnation{})),
 		diffRuns(w.view.unstarted, unstarted), diffRuns(w.view.inactive, inactive),
+		diffRuns(slices.Collect(maps.Keys(w.view.excess)), excess), cmp.Diff(w.view.free, free),
 	} {
 		if diff != "" {
 			return fmt.Errorf("view of worker %s (-fresh +cached):\n%s", w.report.Name, diff)
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -48,9 +48,15 @@
 	}
 	v.report, v.version, v.candidate = w.report, version, nil
 	v.unstarted, v.inactive = v.unstarted[:0], v.inactive[:0]
+	v.free = w.report.Capacity
+	recorded := 0
 	if rec != nil {
-		for run := range rec.Runs {
-			if w.reported[run] == nil && !w.ended[run] {
+		for run, step := range rec.Runs {
+			switch {
+			case w.reported[run] != nil:
+				recorded++
+				v.free = v.free.Sub(step.Committed())
+			case !w.ended[run]:
 				v.unstarted = append(v.unstarted, run)
 			}
 		}
@@ -60,9 +66,10 @@
 			v.inactive = append(v.inactive, run)
 		}
 	}
-	w.steps = w.findSteps(s, rec)
-	v.free = w.report.Capacity
-	for _, step := range w.steps {
+	if recorded < len(w.reported) || len(w.unrecorded) > 0 {
+		w.findUnrecorded(s, rec)
+	}
+	for _, step := range w.unrecorded {
 		if step != nil {
 			v.free = v.free.Sub(step.Committed())
 		}
@@ -87,7 +94,7 @@
 			v.candidate.Services = w.describeServices(&d.baseline, now)
 			d.subtractRuns(v.candidate, w, rec)
 		}
-		w.subtractUnrecordedRuns(v.candidate, rec)
+		w.subtractUnrecordedRuns(v.candidate)
 	}
 	v.candidate.HasPendingResponse = w.pendingResponse != nil
 	return v.candidate
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -24,9 +24,10 @@
 	leaseExpiry time.Time
 	// reported holds the runs that report lists as running.
 	reported map[carobrock.Run]*carobrock.RunReport
-	// steps holds the steps of the runs that report lists as running, nil for a run
-	// whose step is unknown. It is updated together with view.
-	steps map[carobrock.Run]*carobrock.Step
+	// unrecorded holds the steps of the runs that report lists as running although they
+	// are not recorded, nil for a run whose step is unknown. It is updated together
+	// with view.
+	unrecorded map[carobrock.Run]*carobrock.Step
 	// ended holds the runs that report lists as ended. Their ends may not be
 	// committed yet.
 	ended map[carobrock.Run]bool
