Scheduler: no start request to a worker that has shrunk below its commitment

What callers of the task interface would see: attempts were assigned to a worker of four cores, the requests to start them were held up, the worker announced two cores, and the repeated requests started more than fit.

Cause: the keeper refuses assignments beyond the announced capacity, but the requests for attempts that are assigned already were repeated regardless.

Such requests are now held back while less capacity is announced than is committed, as for leaving workers and zones that are out of service. The attempts end when the last request has expired, and are placed again.

Ruled out: new assignments; keeper.freeCapacity is negative there and fits no task.

Not mended: attempts that run already are not evicted from such a worker, and a request that was sent before the announcement may still arrive within its validity of 2.5 s.

--- a/internal/scheduler/cluster_test.go
+++ b/internal/scheduler/cluster_test.go
@@ -38,9 +38,11 @@
 	partitioned  map[string]bool // workers cut off from the network, by name
 	lossRate     float64         // share of requests and announcements that are lost
 	requestDelay time.Duration   // delay of every request to a worker
-	goroutines   *conc.WaitGroup
-	ctx          context.Context
-	stop         context.CancelFunc
+	// capacities holds the capacity that a worker announces instead of its own, by name.
+	capacities map[string]carobrock.Capacity
+	goroutines *conc.WaitGroup
+	ctx        context.Context
+	stop       context.CancelFunc
 
 	lastProgress map[string]map[carobrock.AttemptRef]time.Duration // by worker address
 	zoneOutSince map[string]time.Time                              // when zones were taken out of service
@@ -99,7 +101,7 @@
 // newClusterWith is newCluster with a placer and with services on every worker.
 func newClusterWith(t *testing.T, seed uint64, workers int, taskPlacer carobrock.Placer, services []carobrock.Service) *cluster {
 	cl := &cluster{
-		t: t, keeper: &keeper.Keeper{}, rand: rand.New(rand.NewPCG(seed, seed)), leader: -1, partitioned: map[string]bool{},
+		t: t, keeper: &keeper.Keeper{}, rand: rand.New(rand.NewPCG(seed, seed)), leader: -1, partitioned: map[string]bool{}, capacities: map[string]carobrock.Capacity{},
 		goroutines: conc.NewWaitGroup(), lastProgress: map[string]map[carobrock.AttemptRef]time.Duration{}, zoneOutSince: map[string]time.Time{},
 	}
 	cl.keeper.Prepare()
@@ -218,6 +220,13 @@
 	cl.requestDelay = d
 }
 
+// setCapacity changes the capacity that a worker announces.
+func (cl *cluster) setCapacity(worker string, c carobrock.Capacity) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.capacities[worker] = c
+}
+
 // simulateTransit delays a message to or from a worker and reports whether it
 // arrives.
 func (cl *cluster) simulateTransit(worker string) bool {
@@ -246,11 +255,15 @@
 	}
 	a.cluster.mu.Lock()
 	n := a.cluster.leader
+	announcement := *an
+	if c, ok := a.cluster.capacities[a.name]; ok {
+		announcement.Capacity = c
+	}
 	a.cluster.mu.Unlock()
 	if n < 0 {
 		return nil, carobrock.ErrNotApplied
 	}
-	renewal, err := a.cluster.candidates[n].scheduler.Announce(ctx, an)
+	renewal, err := a.cluster.candidates[n].scheduler.Announce(ctx, &announcement)
 	if !a.cluster.simulateTransit(a.name) {
 		<-ctx.Done()
 		return nil, errLost
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -83,6 +83,19 @@
 	return evacuating
 }
 
+// workersWithoutStarts returns the names of the workers on which no attempt may be
+// started: those to evacuate, and those that announced less capacity than is
+// committed.
+func (s *Scheduler) workersWithoutStarts() map[string]bool {
+	out := s.workersToEvacuate()
+	for _, w := range s.Keeper.Workers() {
+		if w.Free.IsNegative() {
+			out[w.Name] = true
+		}
+	}
+	return out
+}
+
 // changeForAttempt returns the change that follows from the reports and the
 // lease of an attempt, and false if there is none.
 func (s *Scheduler) changeForAttempt(t *carobrock.Task, now time.Time) (carobrock.TaskChange, bool) {
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -48,9 +48,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sentAt := map[requestKey]time.Time{}
-	var evacuating map[string]bool
+	var withoutStarts map[string]bool
 	if len(tasks) > 0 {
-		evacuating = s.workersToEvacuate()
+		withoutStarts = s.workersWithoutStarts()
 	}
 	for i := range tasks {
 		t := tasks[i]
@@ -59,7 +59,7 @@
 		if now.Sub(sentAt[key]) < requestInterval {
 			continue
 		}
-		if t.State == carobrock.TaskStarting && evacuating[t.Worker] {
+		if t.State == carobrock.TaskStarting && withoutStarts[t.Worker] {
 			// The attempt ends when the last request to start it has expired.
 			continue
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -196,6 +196,36 @@
 	})
 }
 
+// TestStartOnShrunkWorkerIsHeldBack shrinks a worker while the requests to start four
+// tasks on it are held up.
+func TestStartOnShrunkWorkerIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, 1)
+		defer cl.close()
+		cl.setRequestDelay(10 * time.Second)
+		cl.submitTasks(4, smallTask)
+		time.Sleep(time.Second)
+		cl.setCapacity("w0", carobrock.Capacity{MilliCPU: 2000, MemoryMB: 4000})
+		time.Sleep(2 * time.Second)
+		cl.setRequestDelay(0)
+		w := cl.workerAt("w0/0")
+		running := func() (n int) {
+			for _, a := range w.Attempts() {
+				if a.State == carobrock.ReportRunning {
+					n++
+				}
+			}
+			return n
+		}
+		cl.checkUntil(func() bool {
+			if n := running(); n > 2 {
+				t.Fatalf("%d tasks of one core run on a worker of two cores", n)
+			}
+			return cl.allTasksIn(carobrock.TaskSucceeded)()
+		}, 2*time.Minute)
+	})
+}
+
 // TestWrongVerdicts checks that a "down" verdict for a working VM neither
 // evicts nor restarts a task: the attempt continues.
 func TestWrongVerdicts(t *testing.T) {
