Dispatcher tests: no task runs twice while capacities change

The random test also counts the runs of each task over all workers: withdrawals are what could start one twice. With withdrawals of runs whose start order was sent (a mutation) it fails: "start of {{{} j34 0 0 0} 2} on worker w3: 2 runs of the task at the same time". Workers that fall silent now end their runs when the lease expires and not when they are heard of again.

--- a/internal/dispatcher/capacity_test.go
+++ b/internal/dispatcher/capacity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,6 +178,20 @@
 	maxStopTime = 900 * time.Millisecond
 )
 
+// holders counts the runs of each task on all workers.
+type holders struct {
+	mu     sync.Mutex
+	counts map[carobrock.TaskRef]int
+}
+
+// add adds n to the count of a task and returns the new count.
+func (h *holders) add(task carobrock.TaskRef, n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.counts[task] += n
+	return h.counts[task]
+}
+
 // unguardedWorker simulates a worker that starts whatever it is told to start, whose
 // capacity changes at random. It loses responses and is silent now and then.
 type unguardedWorker struct {
@@ -184,6 +199,8 @@
 	rand *rand.Rand
 	// steps holds the steps of all jobs. It does not change.
 	steps map[string]carobrock.Step
+	// holders is shared by all workers.
+	holders *holders
 	// stopsAt holds when each run that is being stopped ends, endsAt when the others
 	// end by themselves.
 	stopsAt, endsAt map[carobrock.Run]time.Time
@@ -206,6 +223,12 @@
 	return cpu, memory, accelerators
 }
 
+// finish ends a run.
+func (v *unguardedWorker) finish(run carobrock.Run, kind carobrock.EndKind) {
+	v.holders.add(run.Task, -1)
+	v.endRun(run, kind)
+}
+
 // endDueRuns ends the runs whose time has come or whose lease has expired.
 func (v *unguardedWorker) endDueRuns() {
 	now := time.Now()
@@ -214,13 +237,13 @@
 		stopsAt, isStopping := v.stopsAt[x.Run]
 		switch {
 		case now.After(v.leaseEnd):
-			v.endRun(x.Run, carobrock.EndLeaseExpired)
+			v.finish(x.Run, carobrock.EndLeaseExpired)
 		case isStopping && now.After(stopsAt):
-			v.endRun(x.Run, carobrock.EndStopped)
+			v.finish(x.Run, carobrock.EndStopped)
 		case isService(x.Run):
 			x.Percent, x.TailMillis = 100, 30
 		case !isStopping && now.After(v.endsAt[x.Run]):
-			v.endRun(x.Run, carobrock.EndSucceeded)
+			v.finish(x.Run, carobrock.EndSucceeded)
 		default:
 			x.Percent = min(99, x.Percent+1)
 		}
@@ -243,6 +266,9 @@
 	for _, s := range response.Start {
 		v.starts++
 		v.report.Running = append(v.report.Running, carobrock.RunReport{Run: s.Run})
+		if n := v.holders.add(s.Task, 1); n > 1 {
+			v.h.t.Errorf("start of %v on worker %s: %d runs of the task at the same time", s.Run, v.report.Name, n)
+		}
 		v.endsAt[s.Run] = time.Now().Add(time.Duration(500+v.rand.IntN(6000)) * time.Millisecond)
 		if cpu, memory, accelerators := v.committed(); cpu > reported.MilliCPU || memory > reported.MemoryMB || accelerators > reported.Accelerators {
 			v.h.t.Errorf("start of %v brings worker %s to %d, %d, %d of %+v", s.Run, v.report.Name, cpu, memory, accelerators, reported)
@@ -274,7 +300,10 @@
 			v.carryOut(response, r.Capacity, sentAt)
 		}
 		if v.rand.IntN(300) == 0 {
-			time.Sleep(testLease + time.Duration(v.rand.Int64N(int64(2*time.Second)))) // silent
+			silentUntil := time.Now().Add(testLease + time.Duration(v.rand.Int64N(int64(2*time.Second))))
+			time.Sleep(time.Until(v.leaseEnd) + time.Millisecond)
+			v.endDueRuns()
+			time.Sleep(time.Until(silentUntil))
 		}
 		time.Sleep(time.Duration(20+v.rand.IntN(130)) * time.Millisecond)
 	}
@@ -318,11 +347,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	group := conc.NewWaitGroup()
+	running := &holders{counts: map[carobrock.TaskRef]int{}}
 	var fleet []*unguardedWorker
 	for i := range 4 {
 		v := &unguardedWorker{
 			fakeWorker: h.newWorker(fmt.Sprint("w", i), 8), rand: rand.New(rand.NewPCG(seed, uint64(i+1))), steps: steps,
-			stopsAt: map[carobrock.Run]time.Time{}, endsAt: map[carobrock.Run]time.Time{},
+			holders: running, stopsAt: map[carobrock.Run]time.Time{}, endsAt: map[carobrock.Run]time.Time{},
 		}
 		fleet = append(fleet, v)
 		group.Go(func() { v.run(ctx) })
