--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -71,8 +71,10 @@
 		d.Logger.Info().Str("worker", r.Name).Int64("remainingMillis", r.RemainingMillis).Msg("dispatcher: worker is leaving")
 	}
 	w.releaseResponse()
+	previous := w.report
 	w.updateReport(r, now)
 	d.StateMachine.View(func(s *bookkeeper.State) {
+		d.logCapacityChange(s, w, previous)
 		d.updateLoadEstimates(s, w, now)
 		d.updatePaces(s, w, now)
 		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
@@ -438,9 +440,9 @@
 }
 
 // isStartable reports whether a recorded run that the worker does not have may be
-// started on it. d.mu must be held.
+// started on it. The view of the worker must be up to date and d.mu must be held.
 func (d *Dispatcher) isStartable(s *bookkeeper.State, w *worker, run carobrock.Run) bool {
-	return d.mayStartRuns(s, w) && !w.withdrawalProposed[run] && s.IsActive(w.report.WorkerIncarnation, run)
+	return d.mayStartRuns(s, w) && !w.withdrawalProposed[run] && !w.view.excess[run] && s.IsActive(w.report.WorkerIncarnation, run)
 }
 
 // mayStartRuns reports whether the worker may start new runs: it is not leaving,
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -23,6 +23,12 @@
 	// active.
 	unstarted []carobrock.Run
 	inactive  []carobrock.Run
+	// excess holds the active runs among unstarted that do not fit in the reported
+	// capacity beside the running ones.
+	excess map[carobrock.Run]bool
+	// free is the reported capacity less the running runs whose steps are known. It
+	// may be negative.
+	free carobrock.Capacity
 	// candidate describes the worker to the allocator, nil if it must be derived
 	// again.
 	candidate *allocator.Worker
@@ -42,9 +48,15 @@
 	}
 	v.report, v.version, v.candidate = w.report, version, nil
 	v.unstarted, v.inactive = v.unstarted[:0], v.inactive[:0]
+	v.free = w.report.Capacity
+	recorded := 0
 	if rec != nil {
-		for run := range rec.Runs {
-			if w.reported[run] == nil && !w.ended[run] {
+		for run, step := range rec.Runs {
+			switch {
+			case w.reported[run] != nil:
+				recorded++
+				v.free = v.free.Sub(step.Committed())
+			case !w.ended[run]:
 				v.unstarted = append(v.unstarted, run)
 			}
 		}
@@ -54,6 +66,15 @@
 			v.inactive = append(v.inactive, run)
 		}
 	}
+	if recorded < len(w.reported) || len(w.unrecorded) > 0 {
+		w.findUnrecorded(s, rec)
+	}
+	for _, step := range w.unrecorded {
+		if step != nil {
+			v.free = v.free.Sub(step.Committed())
+		}
+	}
+	v.excess = w.findExcess(s, rec)
 	return v
 }
 
@@ -68,10 +89,12 @@
 			Capacity: r.Capacity, Free: r.Capacity, SpareMilliCPU: r.Capacity.MilliCPU,
 			FailureRate: w.outcomes.failureRate(now), ServicesByImage: map[string]int{},
 		}
-		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
+		rec := s.Workers[r.WorkerIncarnation]
+		if rec != nil {
 			v.candidate.Services = w.describeServices(&d.baseline, now)
 			d.subtractRuns(v.candidate, w, rec)
 		}
+		w.subtractUnrecordedRuns(v.candidate)
 	}
 	v.candidate.HasPendingResponse = w.pendingResponse != nil
 	return v.candidate
@@ -98,6 +121,9 @@
 		if d.isBeingLost(w.report.WorkerIncarnation) || !d.mayStartRuns(s, w) || w.isSilent(now) {
 			continue
 		}
+		if w.updateView(s); w.hasUnknownRun() {
+			continue
+		}
 		out = append(out, d.candidate(s, w, now))
 	}
 	return out
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -24,6 +24,10 @@
 	leaseExpiry time.Time
 	// reported holds the runs that report lists as running.
 	reported map[carobrock.Run]*carobrock.RunReport
+	// unrecorded holds the steps of the runs that report lists as running although they
+	// are not recorded, nil for a run whose step is unknown. It is updated together
+	// with view.
+	unrecorded map[carobrock.Run]*carobrock.Step
 	// ended holds the runs that report lists as ended. Their ends may not be
 	// committed yet.
 	ended map[carobrock.Run]bool
@@ -46,6 +50,9 @@
 	// stopReasons holds the reason for each run that is to be stopped although its
 	// task is not done.
 	stopReasons map[carobrock.Run]string
+	// shortSince is since when the running tasks have exceeded the reported capacity,
+	// zero if they do not.
+	shortSince time.Time
 	// throttles holds the throttle of each run that has one; paceChangedAt is the
 	// time of the last pace change.
 	throttles     map[carobrock.Run]*throttle
