--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -73,10 +73,8 @@
 type Task struct {
 	// Attempt is the number of the newest run, zero before the first.
 	Attempt uint64 `cbor:"1,keyasint,omitempty"`
-	// Failures counts the runs that failed, FailedAttempts lists them. A worker may
-	// report the end of a run again after the record of its incarnation was deleted.
-	Failures       int      `cbor:"2,keyasint,omitempty"`
-	FailedAttempts []uint64 `cbor:"6,keyasint,omitempty"`
+	// Failures counts the runs that failed.
+	Failures int `cbor:"2,keyasint,omitempty"`
 	// Done is set when a run succeeds. It is never cleared.
 	Done bool `cbor:"3,keyasint,omitempty"`
 	// Checkpoint is the newest recorded checkpoint, "" if there is none.
--- a/internal/bookkeeper/runs.go
+++ b/internal/bookkeeper/runs.go
@@ -1,10 +1,6 @@
 package bookkeeper
 
-import (
-	"slices"
-
-	"github.com/carobrock/carobrock"
-)
+import "github.com/carobrock/carobrock"
 
 // assignTask records a run. An assignment that is inconsistent with the state is
 // ignored: the attempt must be the next one, the step must be ready, and no other
@@ -143,10 +139,6 @@
 		}
 		st.FailedAttempt = e.Attempt
 	}
-	if slices.Contains(t.FailedAttempts, e.Attempt) {
-		return
-	}
-	t.FailedAttempts = append(t.FailedAttempts, e.Attempt)
 	t.Failures++
 	if t.Failures >= max(1, j.Queue.MaxAttempts) {
 		s.endJob(j, carobrock.JobFailed, atMillis)
