Dispatcher: a new leader withdraws no run that an earlier one may have started

Callers would see a task run twice at once after a change of leader.

Cause: the first heartbeat that the new leader got from the worker was number 115, held up since before the start; the earlier leader had answered number 116 with the start order. The new leader took the run for one that the worker has certainly not received. The leader that assigned a run gets the heartbeats in their order and knows its own orders; a new leader knows neither.

A run that was not assigned in the present term is now withdrawn only when the leases of earlier leaders have expired. After that a worker that still has it has been heard with a newer heartbeat.

Evidence: TestRunMissingInALateHeartbeatIsNotStartedElsewhere.

--- a/internal/dispatcher/capacity_test.go
+++ b/internal/dispatcher/capacity_test.go
@@ -37,6 +37,8 @@
 		// prepare runs after the task was assigned to a, and before a reports less
 		// capacity.
 		prepare func(h *harness, a *fakeWorker)
+		// wait is the time before the withdrawal.
+		wait time.Duration
 	}{
 		{name: "before the start order", step: sizedStep(1, 3), prepare: func(*harness, *fakeWorker) {}},
 		{name: "response with the start order lost", step: sizedStep(1, 3), prepare: func(h *harness, a *fakeWorker) {
@@ -47,7 +49,7 @@
 		{name: "new leader", step: sizedStep(1, 3), prepare: func(h *harness, _ *fakeWorker) {
 			h.log.setTerm(2)
 			_ = h.jobState("job")
-		}},
+		}, wait: leaseWithMargins},
 		{
 			name: "memory of a filler", prepare: func(*harness, *fakeWorker) {},
 			step: carobrock.Step{Count: 1, Filler: true, Image: "heavy", Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 2000}},
@@ -63,6 +65,11 @@
 				time.Sleep(100 * time.Millisecond)
 				test.prepare(h, a)
 				a.report.Capacity = carobrock.Capacity{MilliCPU: 2000, MemoryMB: 1000}
+				for until := time.Now().Add(test.wait); time.Now().Before(until); {
+					if started := h.sendHeartbeats(1, a, b); len(started) > 0 {
+						t.Fatalf("runs %v started before the leases of the earlier leader expired", started)
+					}
+				}
 				started := h.sendHeartbeats(20, a, b)
 				if diff := cmp.Diff(map[string]bool{"job.0#2": true}, started); diff != "" {
 					t.Errorf("started runs (-want +got):\n%s", diff)
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -78,11 +78,14 @@
 	}
 	for i := range c.Withdrawn {
 		if w := d.workers[c.Withdrawn[i].Incarnation.Name]; w != nil {
-			delete(w.withdrawalProposed, carobrock.Run{Task: c.Withdrawn[i].Task, Attempt: c.Withdrawn[i].Attempt})
+			run := carobrock.Run{Task: c.Withdrawn[i].Task, Attempt: c.Withdrawn[i].Attempt}
+			delete(w.withdrawalProposed, run)
+			delete(w.assigned, run)
 		}
 	}
 	for i := range c.Assign {
 		if w := d.workers[c.Assign[i].Incarnation.Name]; w != nil {
+			w.assigned[carobrock.Run{Task: c.Assign[i].Task, Attempt: c.Assign[i].Attempt}] = true
 			w.releaseResponse()
 		}
 	}
@@ -149,10 +152,16 @@
 		Dur("lateness", d.rhythm.meanLateness).Uint64("heartbeats", d.heartbeatCount).Uint64("rounds", d.roundCount).Dur("planTime", d.planTime).Msg("dispatcher: load")
 }
 
+// inheritedLeaseExpiry returns the time by which all leases of earlier leaders have
+// expired.
+func (d *Dispatcher) inheritedLeaseExpiry() time.Time {
+	return latestLeaseExpiry(d.termStart, d.Settings.MaxLease)
+}
+
 // findLostWorkers adds the losses of the worker incarnations with runs whose
 // leases have all expired.
 func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time) {
-	inheritedExpiry := latestLeaseExpiry(d.termStart, d.Settings.MaxLease)
+	inheritedExpiry := d.inheritedLeaseExpiry()
 	for incarnation, rec := range s.Workers {
 		if len(rec.Runs) == 0 || d.isBeingLost(incarnation) {
 			continue
@@ -173,8 +182,11 @@
 }
 
 // withdrawUnstartedRuns adds to c the runs that have certainly not reached
-// their worker and that the worker cannot or need not start any more.
+// their worker and that the worker cannot or need not start any more. An earlier
+// leader may have sent a run in its response to a later heartbeat than the one that
+// this leader has received, so its runs are withdrawn only after its leases.
 func (d *Dispatcher) withdrawUnstartedRuns(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
+	inheritedExpiry := d.inheritedLeaseExpiry()
 	for name, w := range d.workers {
 		v := w.updateView(s)
 		if len(v.unstarted) == 0 || d.isBeingLost(w.report.WorkerIncarnation) {
@@ -182,7 +194,7 @@
 		}
 		silent := w.isSilent(now)
 		for _, run := range v.unstarted {
-			if w.startsSent[run] {
+			if w.startsSent[run] || !w.assigned[run] && !now.After(inheritedExpiry) {
 				continue
 			}
 			if silent || !d.mayStartRuns(s, w) || !s.IsActive(w.report.WorkerIncarnation, run) || w.withdrawalProposed[run] || v.excess[run] {
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/sourcegraph/conc"
+
+	"github.com/carobrock/carobrock"
 )
 
 // leaseWithMargins is the time after which a leader gives up a silent worker.
@@ -86,6 +88,46 @@
 	})
 }
 
+// Guards against withdrawing a run that an earlier leader had started: the first
+// heartbeat that the new leader got was late and did not list the run yet, and the
+// run was started on another worker as well.
+func TestRunMissingInALateHeartbeatIsNotStartedElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// change is applied to the late heartbeat.
+		change func(late *carobrock.WorkerReport)
+	}{
+		{"worker waits for a dead leader", func(*carobrock.WorkerReport) {}},
+		{"worker is leaving", func(late *carobrock.WorkerReport) { late.Leaving = true }},
+		{"worker has shrunk", func(late *carobrock.WorkerReport) { late.Capacity.MilliCPU = 500 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+				h.must(a.sendHeartbeat())
+				late := a.report
+				late.Sequence++
+				a.report.Sequence++
+				h.submitJob("job", oneCoreStep(1))
+				a.sendHeartbeatsFor(300 * time.Millisecond)
+				h.log.setTerm(2)
+				test.change(&late)
+				if _, err := h.d.Heartbeat(context.Background(), &late); err != nil {
+					t.Fatal(err)
+				}
+				b.sendHeartbeatsFor(time.Second) // a waits for a response of the earlier leader
+				h.must(a.sendHeartbeat())
+				b.sendHeartbeatsFor(time.Second)
+				if got := append(a.runNames(), b.runNames()...); !cmp.Equal(got, []string{"job.0#1"}) {
+					t.Errorf("runs %v, want only the first one on worker a", got)
+				}
+			})
+		})
+	}
+}
+
 // Workers beyond the limit stay with the process that forwards their heartbeats. The
 // place of a worker that has left goes to the next one that joins.
 func TestLeaderDirectsOnlySoManyWorkersToItself(t *testing.T) {
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -34,6 +34,8 @@
 	// startsSent holds the runs that the worker was told to start in the response
 	// to report.
 	startsSent map[carobrock.Run]bool
+	// assigned holds the unstarted runs that were assigned in this term.
+	assigned map[carobrock.Run]bool
 	// withdrawalProposed holds the runs whose withdrawal is proposed. They are not
 	// started any more, even if the proposal fails.
 	withdrawalProposed map[carobrock.Run]bool
@@ -79,7 +81,7 @@
 func newWorker() *worker {
 	return &worker{
 		progress: map[carobrock.Run]progress{}, stopReasons: map[carobrock.Run]string{},
-		throttles: map[carobrock.Run]*throttle{}, inherited: map[carobrock.Run]bool{}, startsSent: map[carobrock.Run]bool{}, withdrawalProposed: map[carobrock.Run]bool{}, loadEstimates: map[carobrock.Run]*loadEstimate{},
+		throttles: map[carobrock.Run]*throttle{}, inherited: map[carobrock.Run]bool{}, startsSent: map[carobrock.Run]bool{}, assigned: map[carobrock.Run]bool{}, withdrawalProposed: map[carobrock.Run]bool{}, loadEstimates: map[carobrock.Run]*loadEstimate{},
 	}
 }
 
@@ -111,6 +113,11 @@
 	}
 	clear(w.startsSent)
 	w.progress, w.firstSeen = updatedProgress, firstSeen
+	for run := range w.assigned {
+		if w.reported[run] != nil || w.ended[run] {
+			delete(w.assigned, run)
+		}
+	}
 	for run := range w.stopReasons {
 		if w.reported[run] == nil {
 			delete(w.stopReasons, run)
