Planned stop: exit with status 0, not 1

Cause: the stop function of notifySignals closes the channel of signals, and the goroutine that reads it took the end of the channel for a second signal. The commands then raced their own os.Exit(exitFailure) with the end of main.

Ruled out: the error of an endpoint's shutdown as the only cause; the status was 1 as well after a stop without an error.

Why it works: the channel is closed only if a second signal was received.

--- a/cmd/carobrock/common.go
+++ b/cmd/carobrock/common.go
@@ -62,12 +62,13 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	group := newGroup()
 	group.Go(func() {
-		defer close(second)
 		if _, ok := <-signals; !ok {
 			return
 		}
 		cancel()
-		<-signals
+		if _, ok := <-signals; ok {
+			close(second)
+		}
 	})
 	return ctx, second, func() {
 		signal.Stop(signals)
