Endpoint: a planned stop answers every request that was read

Seen: a request ends without an answer around a planned stop. In TestPlannedStopOfNodeAnswersEveryRequest against the code before, 24 callers of one stopped node saw "request without a complete response after 301.833µs: unexpected EOF" and the like, 10 and more times a stop.

Cause: http.Server.Shutdown and SetKeepAlivesEnabled(false). Once Shutdown has begun, the server reads a request that arrives on a connection without an earlier one and drops it: conn.serve returns after readRequest if the server is shutting down. Both close connections that count as idle, which they do until the header of the next request has been read in whole. So a node that is some hundred milliseconds behind cuts requests that it has read, or that have waited for it since before the stop. Besides, requests in flight at the end of Shutdown's 2 s were cut, and a transfer of leadership of up to 1 s came before the drain, while readiness was still good.

Evidence: TestStopAnswersRequestsThatWereRead, which sends requests at each offset of 50 ms around the stop, failed before in all 7 cases, with a new connection from 2.2 to 2.5 s after the stop and a used one from 0.6 s before it ("offset -600ms: the request was read and has status 0, want 200").

Ruled out: ReadHeaderTimeout and IdleTimeout (5 and 60 s; not bound to a stop); SIGKILL at 6 s as the cause of these cuts (the process ended before).

Why it works: Shutdown is not used any more. During the drain each response closes its connection and idle connections stay open. After it, a connection is closed only by its own reader, whose read deadline expires when nothing has been received for 0.5 s, and who first reads what has arrived. All budgets follow from one stop deadline, 4.2 s after the stop request: 0.7 s before it the requests in flight are cancelled, so that they are answered, and later ones are refused with 503. Leadership is transferred during the drain.

The line "node: drained" gives for each endpoint the responses during the drain, the connections closed because they were quiet and the requests that were cut.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -120,6 +120,10 @@
 	// The platform's readiness probe must fail twice, one second apart, before
 	// callers are routed elsewhere.
 	drainDuration = 2500 * time.Millisecond
+	// stopTimeout is the time from a stop request until the last request has its
+	// response. It leaves time for the end of the components before the platform kills
+	// the process, 6 s after the request.
+	stopTimeout = 4200 * time.Millisecond
 	// reloadInterval is the interval at which the settings file is checked for
 	// changes, since it may change without a SIGHUP.
 	reloadInterval = 2 * time.Second
@@ -159,11 +163,12 @@
 	components.Go(func(context.Context) error {
 		<-ctx.Done()
 		n.log.Info().Msg("node: stopping")
-		n.drain()
+		n.drain(time.Now().Add(stopTimeout))
 		stopServing()
 		return nil
 	})
 	err := servers.Wait()
+	n.logDrain()
 	stopRunning()
 	if componentErr := components.Wait(); err == nil {
 		err = componentErr
@@ -172,21 +177,31 @@
 	return err
 }
 
-// drain transfers leadership to another replica, reports the gateway as not
-// ready and continues to serve for drainDuration, until callers use other
-// gateways.
-func (n *node) drain() {
+// drain reports the gateway as not ready and continues to serve for drainDuration,
+// until callers use other gateways. Meanwhile it transfers leadership to another
+// replica. The endpoints have until deadline to respond to all requests.
+func (n *node) drain(deadline time.Time) {
+	for _, e := range n.endpoints {
+		e.StartDraining(deadline)
+	}
+	group := newGroup()
+	defer group.Wait()
 	if n.replica != nil {
-		n.replica.TransferLeadership()
+		group.Go(n.replica.TransferLeadership)
 	}
-	if n.submitter == nil {
-		return
+	if n.submitter != nil {
+		n.submitter.StartDraining()
+		_ = sleeper.Sleep(context.Background(), drainDuration) // always waits for the full time
 	}
-	n.submitter.StartDraining()
+}
+
+// logDrain logs what each endpoint did during the drain.
+func (n *node) logDrain() {
+	event := n.log.Info()
 	for _, e := range n.endpoints {
-		e.DisableKeepAlives()
+		event.Object(e.Name, e)
 	}
-	_ = sleeper.Sleep(context.Background(), drainDuration) // always waits for the full time
+	event.Msg("node: drained")
 }
 
 // reloadSettings applies the seeds of the settings file when the file changes
--- /dev/null
+++ b/internal/launcher/endpoint.go
@@ -0,0 +1,212 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	// endpointIdleTimeout is how long a connection may be idle. It is long because
+	// callers keep connections open between requests.
+	endpointIdleTimeout = 60 * time.Second
+	// endpointStopTimeout is the time from the end of Run's context to the stop
+	// deadline if StartDraining was not called.
+	endpointStopTimeout = 2 * time.Second
+	// finalResponseTime is the time before the stop deadline at which the requests in
+	// flight are cancelled, so that their responses can still be sent.
+	finalResponseTime = 700 * time.Millisecond
+	// quietTime is how long nothing must have been received on a connection before it
+	// is closed at shutdown. The first request of a new connection arrives within it.
+	quietTime = 500 * time.Millisecond
+	// shutdownPollInterval is the interval at which connections are checked at
+	// shutdown.
+	shutdownPollInterval = 20 * time.Millisecond
+)
+
+// Endpoint is an HTTP server at one address. It stops in two steps, so that no request
+// that it has read ends without a response: after StartDraining each connection is
+// closed after its next response, and at the end of Run's context connections are
+// closed once they are quiet. http.Server.Shutdown is not used, since it closes
+// connections with requests that were read after its call, or whose header was not
+// complete at that time, without a response.
+type Endpoint struct {
+	// Name identifies the endpoint in errors.
+	Name string
+	// Address is the host:port to listen at.
+	Address string
+	// Handler serves the requests.
+	Handler http.Handler
+
+	server         *http.Server
+	listener       net.Listener
+	cancelRequests context.CancelFunc
+	draining       atomic.Bool
+	served         atomic.Int64 // responses since StartDraining
+	closedQuiet    atomic.Int64 // connections closed because they were quiet
+	unanswered     atomic.Int64 // requests cut at the stop deadline
+
+	mu           sync.Mutex
+	stopDeadline time.Time // zero until StartDraining or the end of Run's context
+	conns        map[*trackedConn]struct{}
+}
+
+// Open starts to listen at the address. It fails with ErrSettings.
+func (e *Endpoint) Open() error {
+	l, err := listen(e.Name, e.Address)
+	if err != nil {
+		return err
+	}
+	e.prepare(l)
+	return nil
+}
+
+// prepare creates the server that accepts connections from l.
+func (e *Endpoint) prepare(l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancelRequests = cancel
+	e.conns = map[*trackedConn]struct{}{}
+	e.listener = &trackingListener{Listener: l, endpoint: e}
+	e.server = &http.Server{
+		Handler: http.HandlerFunc(e.serveHTTP), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: endpointIdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx }, ConnState: trackState,
+	}
+}
+
+// serveHTTP passes a request to the handler. It refuses the request if the stop
+// deadline is near; callers may then rely on it not having been executed.
+func (e *Endpoint) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	draining := e.draining.Load()
+	if draining {
+		w.Header().Set("Connection", "close")
+	}
+	if r.Context().Err() == nil {
+		e.Handler.ServeHTTP(w, r)
+	} else {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	if draining {
+		e.served.Add(1)
+	}
+}
+
+// StartDraining makes the endpoint close each connection after its next response, so
+// that callers connect to other processes. Run returns by the stop deadline.
+func (e *Endpoint) StartDraining(stopDeadline time.Time) {
+	e.mu.Lock()
+	e.stopDeadline = stopDeadline
+	e.mu.Unlock()
+	e.draining.Store(true)
+}
+
+// Run serves until ctx ends and then waits until all requests that were read have their
+// response, at most until the stop deadline. Open must have been called.
+func (e *Endpoint) Run(ctx context.Context) error {
+	defer e.cancelRequests()
+	group := pool.New().WithErrors()
+	served := make(chan struct{})
+	group.Go(func() error {
+		defer close(served)
+		err := e.server.Serve(e.listener)
+		if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error {
+		select {
+		case <-served:
+			return nil
+		case <-ctx.Done():
+			return e.shutdown(served)
+		}
+	})
+	return group.Wait()
+}
+
+// shutdown closes the listener and each connection once it is quiet. Shortly before the
+// stop deadline it cancels the requests in flight, at the deadline it closes all
+// connections. The channel served is closed when no more connections are accepted.
+func (e *Endpoint) shutdown(served <-chan struct{}) error {
+	e.mu.Lock()
+	if e.stopDeadline.IsZero() {
+		e.stopDeadline = time.Now().Add(endpointStopTimeout)
+	}
+	deadline := e.stopDeadline
+	e.mu.Unlock()
+	e.draining.Store(true)
+	listenerErr := e.listener.Close()
+	<-served
+	timer := time.AfterFunc(time.Until(deadline)-finalResponseTime, e.cancelRequests)
+	defer timer.Stop()
+	for e.expireQuietConns() > 0 && time.Now().Before(deadline) {
+		time.Sleep(shutdownPollInterval)
+	}
+	e.countUnanswered()
+	_ = e.server.Close() // its error is that of the listener, which is already closed
+	return listenerErr
+}
+
+// openConns returns the open connections.
+func (e *Endpoint) openConns() []*trackedConn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	conns := make([]*trackedConn, 0, len(e.conns))
+	for c := range e.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// expireQuietConns expires the connections that are quiet and returns the number of
+// open ones.
+func (e *Endpoint) expireQuietConns() int {
+	conns := e.openConns()
+	now := time.Now()
+	for _, c := range conns {
+		c.expireIfQuiet(now)
+	}
+	return len(conns)
+}
+
+// countUnanswered counts the open connections with a request that has no response.
+func (e *Endpoint) countUnanswered() {
+	for _, c := range e.openConns() {
+		if c.hasRequest() {
+			e.unanswered.Add(1)
+		}
+	}
+}
+
+// addConn adds an open connection.
+func (e *Endpoint) addConn(c *trackedConn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.conns[c] = struct{}{}
+}
+
+// removeConn removes a connection that is being closed.
+func (e *Endpoint) removeConn(c *trackedConn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.conns[c]; ok && c.isExpired() {
+		e.closedQuiet.Add(1)
+	}
+	delete(e.conns, c)
+}
+
+var _ zerolog.LogObjectMarshaler = (*Endpoint)(nil)
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler. The counts are those of
+// the drain.
+func (e *Endpoint) MarshalZerologObject(event *zerolog.Event) {
+	event.Int64("served", e.served.Load()).Int64("closedQuiet", e.closedQuiet.Load()).Int64("unanswered", e.unanswered.Load())
+}
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -224,64 +223,3 @@
 	components.Go(j.recruiter.Run)
 	return components.Wait()
 }
-
-// Endpoint is an HTTP server at one address.
-type Endpoint struct {
-	// Name identifies the endpoint in errors.
-	Name string
-	// Address is the host:port to listen at.
-	Address string
-	// Handler serves the requests.
-	Handler http.Handler
-
-	server   *http.Server
-	listener net.Listener
-}
-
-// Open starts to listen at the address. It fails with ErrSettings.
-func (e *Endpoint) Open() error {
-	l, err := listen(e.Name, e.Address)
-	if err != nil {
-		return err
-	}
-	e.listener = l
-	e.server = &http.Server{Handler: e.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: endpointIdleTimeout}
-	return nil
-}
-
-// endpointIdleTimeout is how long a connection may be idle. It is long because
-// callers keep connections open between requests.
-const endpointIdleTimeout = 60 * time.Second
-
-// DisableKeepAlives disables keep-alive, so that each connection is closed after its
-// next response and callers connect to other processes.
-func (e *Endpoint) DisableKeepAlives() { e.server.SetKeepAlivesEnabled(false) }
-
-// Run serves until ctx ends and then waits for the requests in flight, at most for
-// endpointShutdownTimeout. Open must have been called.
-func (e *Endpoint) Run(ctx context.Context) error {
-	group := pool.New().WithErrors()
-	served := make(chan struct{})
-	group.Go(func() error {
-		defer close(served)
-		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	group.Go(func() error {
-		select {
-		case <-served:
-			return nil
-		case <-ctx.Done():
-		}
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), endpointShutdownTimeout)
-		defer cancel()
-		return e.server.Shutdown(shutdownCtx)
-	})
-	return group.Wait()
-}
-
-// endpointShutdownTimeout bounds the wait for requests in flight at shutdown. A
-// request takes about 1 s at most, because its call to the leader is bounded.
-const endpointShutdownTimeout = 2 * time.Second
