Node: SIGHUP does not end a process that starts or stops

Would be seen: a node whose settings file changes while it starts or ends is killed by the signal that announces the change, with the requests that it has read.

Cause: the handler of SIGHUP was installed by reloadSettings, after the listeners were open, and released when the components stopped. Without one, SIGHUP ends the process.

Ruled out: nothing else was looked at. A SIGHUP before main still ends the process, which has opened no listener then.

Why it works: the handler is installed before the listeners are opened and remains until the process exits. The channel keeps one signal, so that a change announced during the start is applied.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -41,7 +41,9 @@
 		return err
 	}
 	s.LimitMemory()
-	n := &node{settings: s, settingsPath: c.SettingsFile, log: log}
+	n := &node{settings: s, settingsPath: c.SettingsFile, log: log, hup: make(chan os.Signal, 1)}
+	// Until Notify is called SIGHUP ends the process.
+	signal.Notify(n.hup, syscall.SIGHUP)
 	if err := n.openEndpoints(); err != nil {
 		log.Error().Err(err).Msg("node: cannot start")
 		return err
@@ -57,6 +59,7 @@
 type node struct {
 	settings     *launcher.NodeSettings
 	settingsPath string
+	hup          chan os.Signal // receives SIGHUP until the process exits
 	log          zerolog.Logger
 
 	submitter *submitter.Submitter // nil unless the node serves callers
@@ -208,9 +211,6 @@
 // or the process receives SIGHUP. An invalid file leaves the current seeds in
 // use.
 func (n *node) reloadSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	var lastModified time.Time
@@ -219,7 +219,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-n.hup:
 			signaled = true
 		case <-ticker.C:
 		}
--- a/cmd/carobrock/node_test.go
+++ b/cmd/carobrock/node_test.go
@@ -219,3 +219,27 @@
 		})
 	}
 }
+
+// Guards against SIGHUP ending a node that has opened its listeners but not yet
+// started to serve.
+func TestNodeOutlivesSIGHUPAtItsStart(t *testing.T) {
+	for round := range 5 {
+		n := newTestNode(t, "127.0.0.1", freePorts(t, 4), "loss_counts: true\ndata_dir: "+t.TempDir())
+		n.start(t)
+		defer n.kill()
+		for start := time.Now(); ; {
+			conn, err := net.Dial("tcp", n.peer)
+			if err == nil {
+				_ = conn.Close()
+				break
+			}
+			if time.Since(start) > operationTimeout {
+				t.Fatal(err)
+			}
+		}
+		if err := n.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+		putNodeConfiguration(t, n)
+	}
+}
