Node: further signals do not cut a planned stop short

Would be seen: a node that gets a second SIGTERM while it drains, as when two rolling restarts overlap, ends at once, with all requests in flight.

Cause: exitOnSecondSignal, which serves operators at a terminal, was used for the node as well.

Evidence: TestPlannedStopOfNodeAnswersEveryRequest/further_signals failed before with 23 times "cannot connect while the node is in rotation: ... connection refused", once "connection reset by peer", and "node exited with exit status 1".

Why it works: the node handles the signals of a stop itself and ignores those after the first.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -44,13 +44,13 @@
 	n := &node{settings: s, settingsPath: c.SettingsFile, log: log, hup: make(chan os.Signal, 1)}
 	// Until Notify is called SIGHUP ends the process.
 	signal.Notify(n.hup, syscall.SIGHUP)
+	// Further signals do not shorten the stop, which would cut requests.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	if err := n.openEndpoints(); err != nil {
 		log.Error().Err(err).Msg("node: cannot start")
 		return err
 	}
-	ctx, secondSignal, stop := notifySignals()
-	defer stop()
-	exitOnSecondSignal(ctx, secondSignal)
 	return n.run(ctx)
 }
 
--- a/cmd/carobrock/node_test.go
+++ b/cmd/carobrock/node_test.go
@@ -175,9 +175,11 @@
 	for _, test := range []struct {
 		name     string
 		noLeader bool
+		signals  []syscall.Signal // sent 0.5 s apart after the SIGTERM
 	}{
-		{"idle and busy connections", false},
-		{"no leader", true},
+		{"idle and busy connections", false, nil},
+		{"no leader", true, nil},
+		{"further signals", false, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ports := freePorts(t, 4)
@@ -206,6 +208,12 @@
 			if err := relay.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 				t.Fatal(err)
 			}
+			for _, s := range test.signals {
+				time.Sleep(500 * time.Millisecond)
+				if err := relay.cmd.Process.Signal(s); err != nil {
+					t.Errorf("%v: %v", s, err)
+				}
+			}
 			if err := relay.cmd.Wait(); err != nil {
 				t.Errorf("node exited with %v", err)
 			}
