Endpoint: the body of a request is read before its response leaves

Would be seen: a caller that sends a job of some kilobytes to a node that answers 404 or 503 without reading it gets a reset in place of the answer, if it asked to close the connection or the node drains.

Cause: net/http does not read the rest of a body if the connection will be closed after the response. Closing a connection with unread bytes resets it, which destroys a response that is still on its way.

Evidence: TestBodyIsReadBeforeTheResponse failed before in both cases: "read false, status 0, want 404 after the whole request".

Why it works: the endpoint reads up to 256 KiB of what the handler has left before net/http sends the response.

--- a/internal/launcher/endpoint.go
+++ b/internal/launcher/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -29,6 +30,9 @@
 	// shutdownPollInterval is the interval at which connections are checked at
 	// shutdown.
 	shutdownPollInterval = 20 * time.Millisecond
+	// maxDiscardedBytes limits how much of the body of a request is read and discarded
+	// after the handler has returned.
+	maxDiscardedBytes = 256 << 10
 )
 
 // Endpoint is an HTTP server at one address. It stops in two steps, so that no request
@@ -93,11 +97,22 @@
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
+	discardBody(r)
 	if draining {
 		e.served.Add(1)
 	}
 }
 
+// discardBody reads the rest of the body of r, before the response leaves. If the
+// connection were closed with unread bytes, it would be reset, which destroys the
+// response. The body of a request with Expect may never be sent.
+func discardBody(r *http.Request) {
+	if r.Header.Get("Expect") != "" {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes)) // a broken connection takes no response either
+}
+
 // StartDraining makes the endpoint close each connection after its next response, so
 // that callers connect to other processes. Run returns by the stop deadline.
 func (e *Endpoint) StartDraining(stopDeadline time.Time) {
--- a/internal/launcher/endpoint_test.go
+++ b/internal/launcher/endpoint_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -294,3 +296,38 @@
 	}
 	t.Fatal("no bytes have arrived")
 }
+
+// Guards against a response before the end of the request: the connection would then be
+// closed with unread bytes, and the reset destroys the response.
+func TestBodyIsReadBeforeTheResponse(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		draining bool
+		header   string
+	}{
+		{"caller closes the connection", false, "Connection: close\r\n"},
+		{"endpoint drains", true, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := conc.NewWaitGroup()
+				defer group.Wait()
+				stopAt := time.Now().Add(time.Second)
+				_, l := startEndpoint(t, group, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, stopAt)
+				if test.draining {
+					time.Sleep(1500 * time.Millisecond)
+				}
+				c := l.dial()
+				defer func() { _ = c.Close() }()
+				if err := c.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+					t.Fatal(err)
+				}
+				body := strings.Repeat("x", 64<<10)
+				head := fmt.Sprintf("POST /q/1 HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n", test.header, len(body))
+				if isRead, status := sendAndReceive(c, 5*time.Millisecond, head, body); !isRead || status != http.StatusNotFound {
+					t.Errorf("read %v, status %d, want 404 after the whole request", isRead, status)
+				}
+			})
+		})
+	}
+}
