Endpoint: a handler that panics is answered

Would be seen: a request that makes a handler panic ends without an answer, at any time and so around planned work too.

Cause: net/http closes the connection of a handler that panics.

Evidence: TestPanicIsAnswered failed before: "request 0: status 0, want 504".

Ruled out: nothing.

Why it works: the endpoint recovers, logs the panic with its stack and answers 504, which tells callers that the outcome is unknown.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -115,7 +115,7 @@
 
 // addEndpoint adds an HTTP endpoint to the node.
 func (n *node) addEndpoint(name, address string, h http.Handler) {
-	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h})
+	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h, Logger: n.log})
 }
 
 const (
--- a/internal/launcher/endpoint.go
+++ b/internal/launcher/endpoint.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,12 +44,14 @@
 // connections with requests that were read after its call, or whose header was not
 // complete at that time, without a response.
 type Endpoint struct {
-	// Name identifies the endpoint in errors.
+	// Name identifies the endpoint in errors and in the log.
 	Name string
 	// Address is the host:port to listen at.
 	Address string
 	// Handler serves the requests.
 	Handler http.Handler
+	// Logger receives log messages.
+	Logger zerolog.Logger
 
 	server         *http.Server
 	listener       net.Listener
@@ -92,7 +96,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.Context().Err() == nil {
-		e.Handler.ServeHTTP(w, r)
+		e.handle(w, r)
 	} else {
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -103,6 +107,18 @@
 	}
 }
 
+// handle calls the handler. If it panics, the panic is logged and the response says
+// that the outcome of the request is unknown.
+func (e *Endpoint) handle(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if p := recover(); p != nil {
+			e.Logger.Error().Str("endpoint", e.Name).Str("panic", fmt.Sprint(p)).Bytes("stack", debug.Stack()).Msg("endpoint: handler panicked")
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
+	}()
+	e.Handler.ServeHTTP(w, r)
+}
+
 // discardBody reads the rest of the body of r, before the response leaves. If the
 // connection were closed with unread bytes, it would be reset, which destroys the
 // response. The body of a request with Expect may never be sent.
--- a/internal/launcher/endpoint_test.go
+++ b/internal/launcher/endpoint_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 )
@@ -94,7 +95,7 @@
 func startEndpoint(t *testing.T, group *conc.WaitGroup, h http.HandlerFunc, stopAt time.Time) (*Endpoint, *pipeListener) {
 	t.Helper()
 	l := newPipeListener()
-	e := &Endpoint{Handler: h}
+	e := &Endpoint{Handler: h, Logger: zerolog.Nop()}
 	e.prepare(l)
 	ctx, stopServing := context.WithCancel(context.Background())
 	group.Go(func() {
@@ -240,7 +241,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &Endpoint{}
+	e := &Endpoint{Logger: zerolog.Nop()}
 	e.prepare(l)
 	defer func() { _ = e.listener.Close() }()
 	client, err := net.Dial("tcp", l.Addr().String())
@@ -331,3 +332,19 @@
 		})
 	}
 }
+
+// Guards against a handler that panics ending a request without a response.
+func TestPanicIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		group := conc.NewWaitGroup()
+		defer group.Wait()
+		_, l := startEndpoint(t, group, func(http.ResponseWriter, *http.Request) { panic("malformed request") }, time.Now().Add(time.Second))
+		c := l.dial()
+		defer func() { _ = c.Close() }()
+		for i := range 2 {
+			if _, status := sendAndReceive(c, 0, testRequest); status != http.StatusGatewayTimeout {
+				t.Errorf("request %d: status %d, want 504", i, status)
+			}
+		}
+	})
+}
