Tests and proofs of the planned stop of a node

TestPlannedStopOfNodeAnswersEveryRequest also stops the leader. TestConnectionInUseOutlivesTheDrain was added because two mutations of trackedConn passed the tests: the check of active requests and the quiet time taken out. It fails with either ("status 0, want 200"; "io: read/write on closed pipe"). TestExpiredConnectionServesWhatHasArrived now also fails if the server's own deadline extends that of an expired connection ("the read took 2.000115337s").

--- a/cmd/carobrock/node_test.go
+++ b/cmd/carobrock/node_test.go
@@ -174,12 +174,14 @@
 func TestPlannedStopOfNodeAnswersEveryRequest(t *testing.T) {
 	for _, test := range []struct {
 		name     string
-		noLeader bool
+		isLeader bool             // the node that is stopped is the leader
+		noLeader bool             // the leader is killed before
 		signals  []syscall.Signal // sent 0.5 s apart after the SIGTERM
 	}{
-		{"idle and busy connections", false, nil},
-		{"no leader", true, nil},
-		{"further signals", false, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}},
+		{"idle and busy connections", false, false, nil},
+		{"leader", true, false, nil},
+		{"no leader", false, true, nil},
+		{"further signals", false, false, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ports := freePorts(t, 4)
@@ -190,13 +192,17 @@
 				defer n.kill()
 			}
 			putNodeConfiguration(t, replica)
-			waitForStatus(t, http.MethodGet, "http://"+relay.ready+"/v1/readyz", "")
+			stopped := relay
+			if test.isLeader {
+				stopped = replica
+			}
+			waitForStatus(t, http.MethodGet, "http://"+stopped.ready+"/v1/readyz", "")
 			rng := rand.New(rand.NewPCG(23, 1))
 			var answered, dialUntil atomic.Int64
 			dialUntil.Store(time.Now().Add(time.Hour).UnixNano())
 			group := conc.NewWaitGroup()
 			for range 24 {
-				c := &nodeCaller{address: relay.callers, period: time.Duration(10+rng.IntN(1800)) * time.Millisecond, dialUntil: &dialUntil, answered: &answered}
+				c := &nodeCaller{address: stopped.callers, period: time.Duration(10+rng.IntN(1800)) * time.Millisecond, dialUntil: &dialUntil, answered: &answered}
 				group.Go(func() { c.run(t) })
 			}
 			time.Sleep(time.Second)
@@ -205,16 +211,16 @@
 			}
 			stoppedAt := time.Now()
 			dialUntil.Store(stoppedAt.Add(rotationDelay).UnixNano())
-			if err := relay.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			if err := stopped.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 				t.Fatal(err)
 			}
 			for _, s := range test.signals {
 				time.Sleep(500 * time.Millisecond)
-				if err := relay.cmd.Process.Signal(s); err != nil {
+				if err := stopped.cmd.Process.Signal(s); err != nil {
 					t.Errorf("%v: %v", s, err)
 				}
 			}
-			if err := relay.cmd.Wait(); err != nil {
+			if err := stopped.cmd.Wait(); err != nil {
 				t.Errorf("node exited with %v", err)
 			}
 			if took := time.Since(stoppedAt); took > gracePeriod {
--- a/internal/launcher/endpoint.go
+++ b/internal/launcher/endpoint.go
@@ -26,6 +26,8 @@
 	// finalResponseTime is the time before the stop deadline at which the requests in
 	// flight are cancelled, so that their responses can still be sent.
 	finalResponseTime = 700 * time.Millisecond
+	// retryAfterSeconds is the value of the Retry-After header of a refusal.
+	retryAfterSeconds = "1"
 	// quietTime is how long nothing must have been received on a connection before it
 	// is closed at shutdown. The first request of a new connection arrives within it.
 	quietTime = 500 * time.Millisecond
@@ -98,7 +100,7 @@
 	if r.Context().Err() == nil {
 		e.handle(w, r)
 	} else {
-		w.Header().Set("Retry-After", "1")
+		w.Header().Set("Retry-After", retryAfterSeconds)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	discardBody(r)
--- a/internal/launcher/endpoint_test.go
+++ b/internal/launcher/endpoint_test.go
@@ -209,6 +209,51 @@
 	}
 }
 
+// Guards against a connection that is closed at the end of the drain although its caller
+// is about to use it: it is new, or waits for the permission to send the body.
+func TestConnectionInUseOutlivesTheDrain(t *testing.T) {
+	const beforeTheEnd = 100 * time.Millisecond // from the start of the connection to the end of the drain
+	for _, test := range []struct {
+		name string
+		idle time.Duration // from the start of the connection to the request
+		head string
+		gap  time.Duration // from the head to the body
+	}{
+		{"new", 400 * time.Millisecond, "", 0},
+		{"sends the body late", 0, "Expect: 100-continue\r\n", 800 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				group := conc.NewWaitGroup()
+				defer group.Wait()
+				stopAt := time.Now().Add(time.Second)
+				_, l := startEndpoint(t, group, func(w http.ResponseWriter, r *http.Request) {
+					if body, err := io.ReadAll(r.Body); err != nil || string(body) != "body" {
+						t.Errorf("handler read %q, %v", body, err)
+					}
+					w.WriteHeader(http.StatusOK)
+				}, stopAt)
+				time.Sleep(time.Until(stopAt.Add(testDrainDuration - beforeTheEnd)))
+				c := l.dial()
+				defer func() { _ = c.Close() }()
+				time.Sleep(test.idle)
+				if _, err := io.WriteString(c, "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"+test.head+"\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				if test.head != "" {
+					if _, status := sendAndReceive(c, 0); status != http.StatusContinue {
+						t.Errorf("status %d, want 100", status)
+					}
+				}
+				time.Sleep(test.gap)
+				if _, status := sendAndReceive(c, 0, "body"); status != http.StatusOK {
+					t.Errorf("status %d, want 200", status)
+				}
+			})
+		})
+	}
+}
+
 // Guards against idle connections that delay a planned stop, or are closed while
 // callers may still use them.
 func TestIdleConnectionIsClosedAtTheEndOfTheDrain(t *testing.T) {
@@ -257,9 +302,16 @@
 	c := conn.(*trackedConn)
 	buf := make([]byte, 64)
 	c.expireIfQuiet(time.Now().Add(quietTime))
+	if err := c.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
 	if n, err := c.Read(buf); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("read %d bytes, %v from a quiet connection, want a timeout", n, err)
 	}
+	if took := time.Since(start); took > time.Second {
+		t.Errorf("the read took %v, want none: the server's own deadline must not extend that of an expired connection", took)
+	}
 	if _, err := io.WriteString(client, "POST"); err != nil {
 		t.Fatal(err)
 	}
