Tests: planned stop of a node that lags behind

A node with a tenth of a core runs late. TestPlannedStopOfNodeAnswersEveryRequest now also suspends the node for 250 of each 350 ms.

--- a/cmd/carobrock/node_test.go
+++ b/cmd/carobrock/node_test.go
@@ -170,18 +170,36 @@
 	rotationDelay = 2100 * time.Millisecond
 )
 
+const (
+	suspendedTime = 250 * time.Millisecond
+	resumedTime   = 100 * time.Millisecond
+)
+
+// suspendRepeatedly suspends and resumes the process of n until ctx ends.
+func suspendRepeatedly(ctx context.Context, n *testNode) {
+	for ctx.Err() == nil {
+		_ = n.cmd.Process.Signal(syscall.SIGSTOP) // fails once the process has exited
+		time.Sleep(suspendedTime)
+		_ = n.cmd.Process.Signal(syscall.SIGCONT)
+		time.Sleep(resumedTime)
+	}
+}
+
 // Guards against requests that are cut by a planned stop of a node.
 func TestPlannedStopOfNodeAnswersEveryRequest(t *testing.T) {
 	for _, test := range []struct {
 		name     string
 		isLeader bool             // the node that is stopped is the leader
 		noLeader bool             // the leader is killed before
+		lags     bool             // the node is suspended again and again
 		signals  []syscall.Signal // sent 0.5 s apart after the SIGTERM
 	}{
-		{"idle and busy connections", false, false, nil},
-		{"leader", true, false, nil},
-		{"no leader", false, true, nil},
-		{"further signals", false, false, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}},
+		{"idle and busy connections", false, false, false, nil},
+		{"leader", true, false, false, nil},
+		{"no leader", false, true, false, nil},
+		{"lagging node", false, false, true, nil},
+		{"lagging leader", true, false, true, nil},
+		{"further signals", false, false, false, []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			ports := freePorts(t, 4)
@@ -209,6 +227,11 @@
 			if test.noLeader {
 				replica.kill()
 			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if test.lags {
+				group.Go(func() { suspendRepeatedly(ctx, stopped) })
+			}
 			stoppedAt := time.Now()
 			dialUntil.Store(stoppedAt.Add(rotationDelay).UnixNano())
 			if err := stopped.cmd.Process.Signal(syscall.SIGTERM); err != nil {
@@ -226,6 +249,7 @@
 			if took := time.Since(stoppedAt); took > gracePeriod {
 				t.Errorf("the stop took %v, want at most %v", took, gracePeriod)
 			}
+			cancel()
 			group.Wait()
 			if answered.Load() < 100 {
 				t.Errorf("only %d requests were answered", answered.Load())
