Messenger: a call that waits for a connection obeys its timeout

Would be seen: while a node tries to connect to a replica that does not respond, its other calls there, and the requests behind them, are held up to 1 s longer than their timeout. At a planned stop such a request does not end when it is cancelled, so that it may be cut at the stop deadline.

Cause: openSession dialled with the peer's mutex held, and the wait for a mutex obeys no context. Closing the messenger waited for it as well.

Evidence: TestCallIsBoundedWhileAnotherConnects failed before: "a call with a timeout of 50ms took 500.627055ms".

Ruled out: the same for the opening of a stream was only read, not shown: yamux waits up to 2 s for a place among 256 unacknowledged streams, and for a write.

Why it works: who may dial is decided by a channel, on which a call waits no longer than its context allows; the mutex is held for no I/O.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -233,3 +233,40 @@
 		t.Errorf("a later call returned %q, %v", body, err)
 	}
 }
+
+// Guards against a call that outlives its context because another call is connecting
+// to the same process.
+func TestCallIsBoundedWhileAnotherConnects(t *testing.T) {
+	const connectTime = 500 * time.Millisecond
+	dialing := make(chan struct{}, 1)
+	ms := &Messenger{Logger: zerolog.Nop(), Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	ms.Prepare()
+	group := conc.NewWaitGroup()
+	defer group.Wait()
+	group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), connectTime)
+		defer cancel()
+		if _, err := ms.Call(ctx, "lost", "echo", nil); !errors.Is(err, ErrNotSent) {
+			t.Errorf("call that connects: %v, want ErrNotSent", err)
+		}
+	})
+	<-dialing
+	ctx, cancel := context.WithTimeout(context.Background(), connectTime/10)
+	defer cancel()
+	start := time.Now()
+	if _, err := ms.Call(ctx, "lost", "echo", nil); !errors.Is(err, ErrNotSent) {
+		t.Errorf("call that waits: %v, want ErrNotSent", err)
+	}
+	if took := time.Since(start); took > connectTime/2 {
+		t.Errorf("a call with a timeout of %v took %v", connectTime/10, took)
+	}
+	start = time.Now()
+	ms.closeAll()
+	if took := time.Since(start); took > connectTime/4 {
+		t.Errorf("closing the messenger took %v", took)
+	}
+}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -31,6 +31,8 @@
 	address       string
 	queue         chan *encoder.Message
 	senderStarted bool
+	// connecting holds an element while a session is being dialled.
+	connecting chan struct{}
 
 	mu          sync.Mutex
 	session     *yamux.Session
@@ -55,15 +57,35 @@
 	defer ms.mu.Unlock()
 	p, ok := ms.peers[address]
 	if !ok {
-		p = &peer{address: address, queue: make(chan *encoder.Message, sendQueueCapacity)}
+		p = &peer{address: address, queue: make(chan *encoder.Message, sendQueueCapacity), connecting: make(chan struct{}, 1)}
 		ms.peers[address] = p
 	}
 	return p
 }
 
 // openSession returns the open session to p and dials a new one if there is none.
-// After a failed attempt it returns the same error for minRedialInterval.
+// After a failed attempt it returns the same error for minRedialInterval. It does not
+// wait longer than ctx allows for another call that is dialling.
 func (ms *Messenger) openSession(ctx context.Context, p *peer) (*yamux.Session, error) {
+	if session, err := p.currentSession(); session != nil || err != nil {
+		return session, err
+	}
+	select {
+	case p.connecting <- struct{}{}:
+		defer func() { <-p.connecting }()
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ErrNotSent, "waiting for a connection to %s: %v", p.address, ctx.Err())
+	}
+	if session, err := p.currentSession(); session != nil || err != nil {
+		return session, err
+	}
+	session, err := ms.dial(ctx, p.address)
+	return p.setSession(session, err)
+}
+
+// currentSession returns the open session, the error of an attempt to dial less than
+// minRedialInterval ago, or neither.
+func (p *peer) currentSession() (*yamux.Session, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -75,8 +97,19 @@
 	if time.Since(p.lastDial) < minRedialInterval && p.lastDialErr != nil {
 		return nil, p.lastDialErr
 	}
-	session, err := ms.dial(ctx, p.address)
+	return nil, nil
+}
+
+// setSession records the result of an attempt to dial and returns it. A session that
+// was dialled while p was closed is closed.
+func (p *peer) setSession(session *yamux.Session, err error) (*yamux.Session, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.lastDial, p.lastDialErr, p.session = time.Now(), err, session
+	if p.closed && session != nil {
+		_ = session.Close()
+		return nil, eris.Wrap(ErrNotSent, "messenger is closed")
+	}
 	return session, err
 }
 
