--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -41,14 +41,16 @@
 		return err
 	}
 	s.LimitMemory()
-	n := &node{settings: s, settingsPath: c.SettingsFile, log: log}
+	n := &node{settings: s, settingsPath: c.SettingsFile, log: log, hup: make(chan os.Signal, 1)}
+	// Until Notify is called SIGHUP ends the process.
+	signal.Notify(n.hup, syscall.SIGHUP)
+	// Further signals do not shorten the stop, which would cut requests.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	if err := n.openEndpoints(); err != nil {
 		log.Error().Err(err).Msg("node: cannot start")
 		return err
 	}
-	ctx, secondSignal, stop := notifySignals()
-	defer stop()
-	exitOnSecondSignal(ctx, secondSignal)
 	return n.run(ctx)
 }
 
@@ -57,6 +59,7 @@
 type node struct {
 	settings     *launcher.NodeSettings
 	settingsPath string
+	hup          chan os.Signal // receives SIGHUP until the process exits
 	log          zerolog.Logger
 
 	submitter *submitter.Submitter // nil unless the node serves callers
@@ -112,7 +115,7 @@
 
 // addEndpoint adds an HTTP endpoint to the node.
 func (n *node) addEndpoint(name, address string, h http.Handler) {
-	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h})
+	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h, Logger: n.log})
 }
 
 const (
@@ -120,6 +123,10 @@
 	// The platform's readiness probe must fail twice, one second apart, before
 	// callers are routed elsewhere.
 	drainDuration = 2500 * time.Millisecond
+	// stopTimeout is the time from a stop request until the last request has its
+	// response. It leaves time for the end of the components before the platform kills
+	// the process, 6 s after the request.
+	stopTimeout = 4200 * time.Millisecond
 	// reloadInterval is the interval at which the settings file is checked for
 	// changes, since it may change without a SIGHUP.
 	reloadInterval = 2 * time.Second
@@ -159,11 +166,12 @@
 	components.Go(func(context.Context) error {
 		<-ctx.Done()
 		n.log.Info().Msg("node: stopping")
-		n.drain()
+		n.drain(time.Now().Add(stopTimeout))
 		stopServing()
 		return nil
 	})
 	err := servers.Wait()
+	n.logDrain()
 	stopRunning()
 	if componentErr := components.Wait(); err == nil {
 		err = componentErr
@@ -172,30 +180,37 @@
 	return err
 }
 
-// drain transfers leadership to another replica, reports the gateway as not
-// ready and continues to serve for drainDuration, until callers use other
-// gateways.
-func (n *node) drain() {
+// drain reports the gateway as not ready and continues to serve for drainDuration,
+// until callers use other gateways. Meanwhile it transfers leadership to another
+// replica. The endpoints have until deadline to respond to all requests.
+func (n *node) drain(deadline time.Time) {
+	for _, e := range n.endpoints {
+		e.StartDraining(deadline)
+	}
+	group := newGroup()
+	defer group.Wait()
 	if n.replica != nil {
-		n.replica.TransferLeadership()
+		group.Go(n.replica.TransferLeadership)
 	}
-	if n.submitter == nil {
-		return
+	if n.submitter != nil {
+		n.submitter.StartDraining()
+		_ = sleeper.Sleep(context.Background(), drainDuration) // always waits for the full time
 	}
-	n.submitter.StartDraining()
+}
+
+// logDrain logs what each endpoint did during the drain.
+func (n *node) logDrain() {
+	event := n.log.Info()
 	for _, e := range n.endpoints {
-		e.DisableKeepAlives()
+		event.Object(e.Name, e)
 	}
-	_ = sleeper.Sleep(context.Background(), drainDuration) // always waits for the full time
+	event.Msg("node: drained")
 }
 
 // reloadSettings applies the seeds of the settings file when the file changes
 // or the process receives SIGHUP. An invalid file leaves the current seeds in
 // use.
 func (n *node) reloadSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	var lastModified time.Time
@@ -204,7 +219,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-n.hup:
 			signaled = true
 		case <-ticker.C:
 		}
