Dispatcher: a new leader recognizes a worker that was restarted

Cause: only the worker table of the leader knew on which machine an incarnation ran. A new leader saw the newer incarnation on the machine, but could not tell which recorded incarnation it had replaced. A report without a machine ended nothing either, not even an incarnation of the same name.

A report of a newer incarnation ends all recorded ones under its name or on its machine. The records of incarnations that were lost while silent go at the same time; with new names they stayed for good.

Ruled out: giving up inherited leases earlier, since a worker that is only cut off runs on until its lease expires.

--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -11,7 +11,7 @@
 func (s *State) rebuildIndexes(workers []savedWorker) {
 	for _, x := range workers {
 		rec := s.workerRecord(x.Incarnation)
-		rec.LastEndNumber = x.LastEndNumber
+		rec.LastEndNumber, rec.Machine = x.LastEndNumber, x.Machine
 		for i := range x.InactiveRuns {
 			r := &x.InactiveRuns[i]
 			rec.Runs[carobrock.Run{Task: r.Task, Attempt: r.Attempt}] = &r.Step
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -102,6 +102,8 @@
 	// Runs are the runs that may be running on the worker, with their steps. A run
 	// of an ended job remains until its own end is recorded.
 	Runs map[carobrock.Run]*carobrock.Step `cbor:"-"`
+	// Machine is the machine on which the worker runs, "" if it is not known.
+	Machine string `cbor:"-"`
 	// Version changes whenever Runs changes or one of them becomes inactive. It
 	// differs between replicas.
 	Version uint64 `cbor:"-"`
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -48,6 +48,7 @@
 	Incarnation   carobrock.WorkerIncarnation `cbor:"1,keyasint"`
 	LastEndNumber uint64                      `cbor:"2,keyasint"`
 	InactiveRuns  []savedInactiveRun          `cbor:"3,keyasint,omitempty"`
+	Machine       string                      `cbor:"4,keyasint,omitempty"`
 }
 
 // savedInactiveRun is a run that is no longer among the active runs of its
@@ -169,6 +170,11 @@
 	for i := range c.Assign {
 		s.assignTask(&c.Assign[i])
 	}
+	for _, m := range c.Machines {
+		if rec := s.Workers[m.Incarnation]; rec != nil {
+			rec.Machine = m.Machine
+		}
+	}
 	for i := range c.Waves {
 		s.startWave(&c.Waves[i], c.AtUnixMillis)
 	}
@@ -287,7 +293,9 @@
 	defer m.mu.Unlock()
 	saved := savedState{State: &m.state}
 	for incarnation, x := range m.state.Workers {
-		saved.Workers = append(saved.Workers, savedWorker{Incarnation: incarnation, LastEndNumber: x.LastEndNumber, InactiveRuns: m.state.inactiveRuns(incarnation, x)})
+		saved.Workers = append(saved.Workers, savedWorker{
+			Incarnation: incarnation, LastEndNumber: x.LastEndNumber, InactiveRuns: m.state.inactiveRuns(incarnation, x), Machine: x.Machine,
+		})
 	}
 	return cbor.Marshal(&saved)
 }
--- a/internal/bookkeeper/ledger_test.go
+++ b/internal/bookkeeper/ledger_test.go
@@ -249,6 +249,7 @@
 		Zones:  []carobrock.ZoneChange{{Name: "az1", OutOfService: true}},
 		Assign: []carobrock.TaskAssignment{newAssignment(0, 0, 1, workerA), newAssignment(0, 1, 1, workerB)},
 	})
+	l.applyCommand(&carobrock.JobCommand{Machines: []carobrock.WorkerMachine{{Incarnation: workerA, Machine: "m"}}})
 	l.applyCommand(endsCommand(workerB, newRunEnd(4, 0, 1, 1, carobrock.EndSucceeded)))
 	l.applyCommand(&carobrock.JobCommand{Cancel: []carobrock.JobKey{{ID: "job", Queue: queue}}, AtUnixMillis: 1000})
 	data, err := l.Snapshot()
@@ -267,6 +268,9 @@
 		if s.Workers[workerB].LastEndNumber != 4 {
 			t.Errorf("last recorded end number %d, want 4", s.Workers[workerB].LastEndNumber)
 		}
+		if got := s.Workers[workerA].Machine; got != "m" {
+			t.Errorf("machine %q, want m", got)
+		}
 		step := s.Workers[workerA].Runs[carobrock.Run{Task: taskRef(0, 0), Attempt: 1}]
 		if step == nil || step.Size.MilliCPU != 700 {
 			t.Errorf("the run that must still be stopped was not restored: %+v", step)
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -95,24 +95,14 @@
 }
 
 // endEarlierIncarnations records the end of earlier incarnations on the machine
-// of r, or under its name. It does nothing if r names no machine. d.mu must be
-// held.
+// of r, or under its name. d.mu must be held.
 func (d *Dispatcher) endEarlierIncarnations(r *carobrock.WorkerReport) {
-	if r.Machine == "" {
-		return
-	}
 	for _, w := range d.workers {
-		if w.report != nil && w.report.Machine == r.Machine && w.report.WorkerIncarnation != r.WorkerIncarnation && w.report.Started <= r.Started {
+		if w.report != nil && r.Machine != "" && w.report.Machine == r.Machine && w.report.WorkerIncarnation != r.WorkerIncarnation && w.report.Started <= r.Started {
 			d.endIncarnation(w, "a newer worker runs on the machine")
 		}
 	}
-	d.StateMachine.View(func(s *bookkeeper.State) {
-		for incarnation := range s.Workers {
-			if incarnation.Name == r.Name && incarnation.Started < r.Started {
-				d.addLoss(incarnation, nil, true)
-			}
-		}
-	})
+	d.endReplacedIncarnations(r)
 }
 
 // endIncarnation removes a worker whose incarnation has ended from the worker
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -111,6 +111,7 @@
 		requests := d.waitingRequests(s, isFull, candidates, now)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
+			d.recordMachines(s, c)
 			for i := range c.Assign {
 				d.dropCandidate(c.Assign[i].Incarnation)
 			}
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -35,6 +35,9 @@
 	StartedMaintenance []MachineMaintenance `cbor:"10,keyasint,omitempty"`
 	// Interference replaces the learned interference model.
 	Interference *Interference `cbor:"13,keyasint,omitempty"`
+	// Machines records the machines of worker incarnations that have runs. It is
+	// applied after Assign.
+	Machines []WorkerMachine `cbor:"14,keyasint,omitempty"`
 	// AtUnixMillis is the leader's wall-clock time in milliseconds since 1970.
 	// The retention period of ended jobs is counted from it.
 	AtUnixMillis int64 `cbor:"11,keyasint,omitempty"`
@@ -77,6 +80,15 @@
 	IncarnationEnded bool `cbor:"3,keyasint,omitempty"`
 }
 
+// WorkerMachine names the machine of a worker incarnation.
+type WorkerMachine struct {
+	_ struct{} `cbor:",toarray"`
+	// Incarnation identifies the worker incarnation.
+	Incarnation WorkerIncarnation
+	// Machine identifies the machine.
+	Machine string
+}
+
 // WithdrawnRun is an assignment that was withdrawn before it reached its
 // worker.
 type WithdrawnRun struct {
