Dispatcher: give up tasks that crash their workers

Callers saw workers crash one after the other, in a play every 3.4 s without end: a task that crashes each worker that starts it was assigned again as soon as the worker was back, and every run beside it was lost each time.

Cause: only ends that a worker reports as failed were counted. The loss of the worker under a run counted nothing, so the number of starts had no bound.

A worker has crashed if a newer incarnation runs on its machine or under its name and it had not reported that it was leaving. The crash counts, in the replicated state, against the task of each run that was not seen running for 3 s. Runs that were lost with a silent worker are kept in its record until its end is known, and count like a crash for the next start. With two, the task is isolated: it gets the worker with the fewest runs, and nothing else is assigned there until its run was seen for 3 s, which clears the count, or has ended. The third crash fails the job if one ended an isolated run, else the fourth. It does not decide if most workers of the zone were lost as well or the leader is too new to know. After three undecided losses the task waits.

With each of the parts taken out (recorded machine, hold, isolation, wait, late count, survivors, outages, limit of isolated workers, order of requests) a test fails.

Ruled out: giving up after two crashes, as TestRepeatedOutageOfAllWorkersFails- NoJob then fails; counting a silent worker as crashed, since it may run on.

Open: a task under which four workers crash within 3 s of its start for other reasons is given up too. TestRandomDeadlyTasks accepts that with outages only.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -22,6 +22,8 @@
 // may exceed limit.
 func (a *Allocator) Place(requests []Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
+	var allAwaited []*Worker
+	defer func() { setIsolated(allAwaited, false) }()
 	unplaceable := map[placementClass]*Request{}
 	for i := range requests {
 		if len(out) >= limit {
@@ -30,6 +32,13 @@
 		if isKnownUnplaceable(unplaceable, &requests[i]) {
 			continue
 		}
+		if requests[i].IsIsolated {
+			placed, awaited := a.placeIsolated(&requests[i], workers)
+			out = append(out, placed...)
+			setIsolated(awaited, true)
+			allAwaited = append(allAwaited, awaited...)
+			continue
+		}
 		if requests[i].Step.Gang {
 			out = append(out, a.placeGang(&requests[i], workers)...)
 			continue
@@ -182,6 +191,8 @@
 func (a *Allocator) assignTask(r *Request, i int, w *Worker) carobrock.TaskAssignment {
 	w.Free = w.Free.Sub(r.Step.Committed())
 	w.SpareMilliCPU -= r.Step.Size.MilliCPU
+	w.RunCount++
+	w.RecentCount++
 	a.updateServices(r.Step, w, 1)
 	if r.RunsPerWorker != nil {
 		r.RunsPerWorker[w.Incarnation]++
@@ -193,6 +204,8 @@
 func (a *Allocator) unassignTask(r *Request, w *Worker) {
 	w.Free = w.Free.Add(r.Step.Committed())
 	w.SpareMilliCPU += r.Step.Size.MilliCPU
+	w.RunCount--
+	w.RecentCount--
 	a.updateServices(r.Step, w, -1)
 	if r.RunsPerWorker != nil {
 		r.RunsPerWorker[w.Incarnation]--
@@ -203,7 +216,7 @@
 // constraints of r. It does not consider interference.
 func Fits(r *Request, w *Worker) bool {
 	switch {
-	case w.Pool != r.Pool, !r.Step.Committed().Fits(w.Free):
+	case w.Pool != r.Pool, w.IsIsolated, !r.Step.Committed().Fits(w.Free):
 		return false
 	case r.Step.Label != "" && !slices.Contains(w.Labels, r.Step.Label):
 		return false
@@ -252,6 +265,10 @@
 	// oversubscriptionWeight is the cost of requesting more CPU than is spare, as
 	// the fillers on that worker slow down in proportion.
 	oversubscriptionWeight = 4.0
+	// suspectWeight exceeds all other weights, for each run that would be lost with
+	// the worker. Recent runs count twice, as the crash would also be counted
+	// against their tasks.
+	suspectWeight = 100.0
 	// sameImageWeight favors placing service tasks of the same image together, so
 	// that fillers which interfere with that image affect few workers.
 	sameImageWeight = 4.0
@@ -262,6 +279,9 @@
 func scoreWorker(r *Request, w *Worker) float64 {
 	totalCPU := float64(max(1, w.Capacity.MilliCPU))
 	s := -failureWeight * w.FailureRate
+	if r.IsSuspect {
+		s -= suspectWeight * float64(w.RunCount+w.RecentCount)
+	}
 	switch {
 	case r.Step.Filler:
 		s += 0.5 * float64(w.SpareMilliCPU) / totalCPU
@@ -293,6 +313,8 @@
 	}
 	w.Free = w.Free.Sub(r.Step.Committed())
 	w.SpareMilliCPU -= r.Step.Size.MilliCPU
+	w.RunCount++
+	w.RecentCount++
 	a.updateServices(r.Step, w, 1)
 	return w
 }
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -6,7 +6,8 @@
 )
 
 // Worker describes a worker to the allocator. Place updates Free,
-// SpareMilliCPU, Services and ServicesByImage as it assigns tasks.
+// SpareMilliCPU, RunCount, RecentCount, IsIsolated, Services and
+// ServicesByImage as it assigns tasks.
 type Worker struct {
 	// Incarnation identifies the worker process.
 	Incarnation carobrock.WorkerIncarnation
@@ -30,6 +31,13 @@
 	// FailureRate is the recent fraction of runs that failed or stalled on the
 	// worker, from 0 to 1.
 	FailureRate float64
+	// RunCount counts the runs on the worker, RecentCount those of them that
+	// were started so recently that they may still crash it.
+	RunCount    int
+	RecentCount int
+	// IsIsolated is set while the worker runs an isolated task. It gets no other
+	// tasks.
+	IsIsolated bool
 	// Services are the service tasks on the worker that have a tail latency target.
 	Services []pacer.Service
 	// ServicesByImage counts the service tasks on the worker by image.
@@ -63,6 +71,13 @@
 	Tickets map[string]string
 	// NeedsTicket is set if only workers with a ticket may run the step.
 	NeedsTicket bool
+	// IsSuspect is set if the tasks are suspected of crashing workers. They get the
+	// workers with the fewest runs.
+	IsSuspect bool
+	// IsIsolated is set if the tasks must get a worker without recent runs, to which
+	// no other task may be assigned afterwards. Unless the step is a gang, the request
+	// has one task.
+	IsIsolated bool
 }
 
 func (r *Request) taskRef(i int) carobrock.TaskRef {
--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -11,7 +11,13 @@
 func (s *State) rebuildIndexes(workers []savedWorker) {
 	for _, x := range workers {
 		rec := s.workerRecord(x.Incarnation)
-		rec.LastEndNumber, rec.Machine = x.LastEndNumber, x.Machine
+		rec.LastEndNumber, rec.Machine, rec.LostRuns = x.LastEndNumber, x.Machine, x.LostRuns
+		for _, r := range x.Isolated {
+			if rec.Isolated == nil {
+				rec.Isolated = map[carobrock.Run]bool{}
+			}
+			rec.Isolated[r] = true
+		}
 		for i := range x.InactiveRuns {
 			r := &x.InactiveRuns[i]
 			rec.Runs[carobrock.Run{Task: r.Task, Attempt: r.Attempt}] = &r.Step
@@ -27,6 +33,10 @@
 			s.Pending[j.Spec.Queue]++
 		}
 		s.indexRuns(j)
+		s.indexCrashedTasks(j)
+	}
+	for _, rec := range s.Workers {
+		s.indexSuspects(rec)
 	}
 	slices.SortFunc(s.Open, func(a, b *Job) int { return int(a.SubmitNumber) - int(b.SubmitNumber) })
 	slices.SortFunc(s.ended, func(a, b *Job) int { return int(a.EndedUnixMillis - b.EndedUnixMillis) })
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -82,6 +82,14 @@
 	// Runs are the active runs: those that were assigned and may be running. Only a
 	// task of a speculative step has more than one.
 	Runs []TaskRun `cbor:"5,keyasint,omitempty"`
+	// Crashes counts the crashes of workers under unproven runs of the task since a
+	// run was last proven. CrashedInIsolation is set if one of these runs was
+	// isolated.
+	Crashes            int  `cbor:"6,keyasint,omitempty"`
+	CrashedInIsolation bool `cbor:"7,keyasint,omitempty"`
+	// ProvenAttempt is the newest run that was recorded as proven, zero if there is
+	// none. Crashes under it and under earlier runs are not counted.
+	ProvenAttempt uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // TaskRun is an active run of a task.
@@ -104,8 +112,14 @@
 	Runs map[carobrock.Run]*carobrock.Step `cbor:"-"`
 	// Machine is the machine on which the worker runs, "" if it is not known.
 	Machine string `cbor:"-"`
-	// Version changes whenever Runs changes or one of them becomes inactive. It
-	// differs between replicas.
+	// LostRuns are the unproven runs that were lost while the worker was silent. They
+	// are kept until it is known whether it has crashed.
+	LostRuns []LostRun `cbor:"-"`
+	// Isolated holds those of Runs that were assigned in isolation and are not
+	// proven. While there are any, no other task is assigned to the worker.
+	Isolated map[carobrock.Run]bool `cbor:"-"`
+	// Version changes whenever Runs changes or one of them becomes inactive, and
+	// whenever Isolated changes. It differs between replicas.
 	Version uint64 `cbor:"-"`
 }
 
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -1,6 +1,8 @@
 package bookkeeper
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,6 +38,9 @@
 	Open []*Job `cbor:"-"`
 	// Pending counts the jobs without assigned tasks by the key of their queue.
 	Pending map[string]int `cbor:"-"`
+	// Suspects holds the tasks of open jobs under which workers have crashed or may
+	// have crashed, unless a later run was proven.
+	Suspects map[carobrock.TaskRef]bool `cbor:"-"`
 	// ended holds the ended jobs in the order of their ends.
 	ended []*Job
 	// changeCount counts the changes of worker records.
@@ -49,6 +54,8 @@
 	LastEndNumber uint64                      `cbor:"2,keyasint"`
 	InactiveRuns  []savedInactiveRun          `cbor:"3,keyasint,omitempty"`
 	Machine       string                      `cbor:"4,keyasint,omitempty"`
+	LostRuns      []LostRun                   `cbor:"5,keyasint,omitempty"`
+	Isolated      []carobrock.Run             `cbor:"6,keyasint,omitempty"`
 }
 
 // savedInactiveRun is a run that is no longer among the active runs of its
@@ -112,6 +119,9 @@
 	if s.Pending == nil {
 		s.Pending = map[string]int{}
 	}
+	if s.Suspects == nil {
+		s.Suspects = map[carobrock.TaskRef]bool{}
+	}
 }
 
 // View calls fn with the state while holding the mutex. fn must neither
@@ -159,7 +169,13 @@
 		s.recordEnds(&c.Ends[i], c.AtUnixMillis)
 	}
 	for i := range c.Lost {
-		s.recordLostWorker(&c.Lost[i])
+		s.recordLostWorker(&c.Lost[i], c.AtUnixMillis, res)
+	}
+	for _, incarnation := range c.Survivors {
+		s.recordSurvivor(incarnation)
+	}
+	for i := range c.Proven {
+		s.recordProven(&c.Proven[i])
 	}
 	for _, w := range c.Withdrawn {
 		s.removeRun(w.Incarnation, carobrock.Run{Task: w.Task, Attempt: w.Attempt})
@@ -170,6 +186,9 @@
 	for i := range c.Assign {
 		s.assignTask(&c.Assign[i])
 	}
+	for i := range c.Isolated {
+		s.recordIsolated(&c.Isolated[i])
+	}
 	for _, m := range c.Machines {
 		if rec := s.Workers[m.Incarnation]; rec != nil {
 			rec.Machine = m.Machine
@@ -267,6 +286,7 @@
 	j.State, j.EndedUnixMillis = state, atMillis
 	j.forEachRun(func(_ carobrock.TaskRef, r *TaskRun) { s.markChanged(r.Incarnation) })
 	j.Spec.Steps, j.Spec.Payload, j.Occurrences = nil, "", nil
+	maps.DeleteFunc(s.Suspects, func(ref carobrock.TaskRef, _ bool) bool { return ref.Job == j.Spec.ID })
 	s.ended = append(s.ended, j)
 	for i, o := range s.Open {
 		if o == j {
@@ -294,7 +314,8 @@
 	saved := savedState{State: &m.state}
 	for incarnation, x := range m.state.Workers {
 		saved.Workers = append(saved.Workers, savedWorker{
-			Incarnation: incarnation, LastEndNumber: x.LastEndNumber, InactiveRuns: m.state.inactiveRuns(incarnation, x), Machine: x.Machine,
+			Incarnation: incarnation, LastEndNumber: x.LastEndNumber, InactiveRuns: m.state.inactiveRuns(incarnation, x),
+			Machine: x.Machine, LostRuns: x.LostRuns, Isolated: slices.Collect(maps.Keys(x.Isolated)),
 		})
 	}
 	return cbor.Marshal(&saved)
--- a/internal/bookkeeper/runs.go
+++ b/internal/bookkeeper/runs.go
@@ -150,6 +150,7 @@
 func (s *State) removeRun(incarnation carobrock.WorkerIncarnation, r carobrock.Run) bool {
 	if rec := s.Workers[incarnation]; rec != nil {
 		delete(rec.Runs, r)
+		delete(rec.Isolated, r)
 		s.markChanged(incarnation)
 	}
 	_, st, t := s.Task(r.Task)
@@ -169,22 +170,6 @@
 	return false
 }
 
-// recordLostWorker stores the checkpoints of a lost worker incarnation and
-// deletes its runs, and its record if the incarnation has ended.
-func (s *State) recordLostWorker(w *carobrock.LostWorker) {
-	for i := range w.Checkpoints {
-		s.recordRunCheckpoint(&w.Checkpoints[i])
-	}
-	if rec := s.Workers[w.Incarnation]; rec != nil {
-		for r := range rec.Runs {
-			s.removeRun(w.Incarnation, r)
-		}
-	}
-	if w.IncarnationEnded {
-		delete(s.Workers, w.Incarnation)
-	}
-}
-
 // recordRunCheckpoint stores the checkpoint of a run if the run is the newest
 // of its task.
 func (s *State) recordRunCheckpoint(c *carobrock.RunCheckpoint) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -109,7 +109,11 @@
 	// lastFullRound is when a placement round last considered all waiting tasks,
 	// fillersWait is set if it left over fillers.
 	lastFullRound time.Time
-	fillersWait   bool
+	// suspectsSince is when each waiting suspect was first found waiting.
+	suspectsSince map[carobrock.TaskRef]time.Time
+	// recentLosses holds the losses of the last outageTime.
+	recentLosses []zoneLoss
+	fillersWait  bool
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
 	// ID.
 	jobLoadEstimates map[string]map[*loadEstimate]bool
@@ -190,7 +194,7 @@
 		}
 		d.workers, d.sorted = map[string]*worker{}, nil
 		d.losses = map[carobrock.WorkerIncarnation]carobrock.LostWorker{}
-		d.directWorkers = 0
+		d.directWorkers, d.suspectsSince, d.recentLosses = 0, nil, nil
 		d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 		d.StateMachine.View(func(s *bookkeeper.State) { d.model, d.baseline = pacer.Import(s.Interference) })
 		d.modelRecordedAt = d.termStart
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -135,11 +135,15 @@
 // proposes. Checkpoints are included if w is not nil. incarnationEnded is set if
 // the incarnation itself has ended. d.mu must be held.
 func (d *Dispatcher) addLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
-	lost := d.losses[incarnation]
+	lost, known := d.losses[incarnation]
 	lost.Incarnation = incarnation
+	if !known {
+		lost.MayHaveCrashed = w == nil || !w.report.Leaving
+		lost.IsWidespread = d.isWidespread(w, time.Now())
+	}
 	lost.IncarnationEnded = lost.IncarnationEnded || incarnationEnded
 	if w != nil {
-		lost.Checkpoints = w.checkpoints()
+		lost.Checkpoints, lost.Proven = w.checkpoints(), w.provenRuns()
 		w.releaseResponse()
 	}
 	d.losses[incarnation] = lost
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -52,11 +53,13 @@
 		if c == nil {
 			continue
 		}
-		if _, err := d.proposeCommand(ctx, term, c); err != nil {
+		res, err := d.proposeCommand(ctx, term, c)
+		if err != nil {
 			d.Logger.Warn().Err(err).Int("assignments", len(c.Assign)).Msg("dispatcher: placement command failed or its outcome is unknown")
 			continue
 		}
 		d.updateWorkersAfterCommit(c)
+		d.logCrashes(c, res)
 	}
 }
 
@@ -111,6 +114,7 @@
 		requests := d.waitingRequests(s, isFull, candidates, now)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
+			d.markIsolated(requests, c)
 			d.recordMachines(s, c)
 			for i := range c.Assign {
 				d.dropCandidate(c.Assign[i].Incarnation)
@@ -123,13 +127,14 @@
 			d.logLoad(s, now)
 			d.moveSlowedFillers(s, candidates, now)
 			d.dropStaleAdvice(now)
+			d.findProvenRuns(s, c)
 		}
 	})
 	if now.Sub(d.modelRecordedAt) >= modelRecordInterval {
 		d.modelRecordedAt = now
 		c.Interference = pacer.Export(&d.model, &d.baseline)
 	}
-	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign) == 0 && c.Interference == nil {
+	if len(c.Lost)+len(c.Withdrawn)+len(c.Assign)+len(c.Proven)+len(c.Survivors) == 0 && c.Interference == nil {
 		return nil, 0
 	}
 	return c, d.term
@@ -206,6 +211,7 @@
 // slowly, and new jobs must not overtake those that wait.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
 	var ranked []rankedRequest
+	suspects := d.newSuspectQueue(s, now)
 	nowMillis := d.Now().UnixMilli()
 	for _, j := range s.Open {
 		if j.Queue.Pool == "" {
@@ -224,12 +230,19 @@
 					if j.Queue.Policy != nil {
 						d.fillTickets(&r, j.Queue.Policy, candidates, now)
 					}
-					ranked = append(ranked, rankedRequest{r, ranker.UrgencyOf(j, o, k, i, nowMillis)})
+					for _, part := range suspects.splitRequest(&r) {
+						ranked = append(ranked, rankedRequest{part, ranker.UrgencyOf(j, o, k, i, nowMillis)})
+					}
 				}
 			}
 		}
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedRequest) int { return a.urgency.Compare(b.urgency) })
+	if includeAll {
+		d.suspectsSince = suspects.since
+	}
+	slices.SortStableFunc(ranked, func(a, b rankedRequest) int {
+		return cmp.Or(compareIsolation(&a.Request, &b.Request), a.urgency.Compare(b.urgency))
+	})
 	out := make([]allocator.Request, len(ranked))
 	for i := range ranked {
 		out[i] = ranked[i].Request
@@ -252,7 +265,7 @@
 	}
 	for i := range requests {
 		r := &requests[i]
-		if !r.Step.Filler {
+		if !r.Step.Filler || r.IsSuspect {
 			continue
 		}
 		if placed[r.Job] -= len(r.Indices); placed[r.Job] < 0 {
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -69,6 +69,7 @@
 			FailureRate: w.outcomes.failureRate(now), ServicesByImage: map[string]int{},
 		}
 		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
+			v.candidate.RunCount, v.candidate.RecentCount, v.candidate.IsIsolated = len(rec.Runs), w.recentCount(rec), len(rec.Isolated) > 0
 			v.candidate.Services = w.describeServices(&d.baseline, now)
 			d.subtractRuns(v.candidate, w, rec)
 		}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -16,7 +16,9 @@
 	isDirect bool
 	// view is derived from report and the replicated record.
 	view workerView
-	// receivedAt is when report arrived, respondedAt when the last response was sent.
+	// joinedAt is when the first heartbeat arrived, receivedAt when report arrived,
+	// respondedAt when the last response was sent.
+	joinedAt    time.Time
 	receivedAt  time.Time
 	respondedAt time.Time
 	// leaseExpiry is the time by which every lease granted by this leader has
@@ -79,6 +81,9 @@
 // updateReport replaces the worker's report and drops the state of runs that it
 // no longer lists.
 func (w *worker) updateReport(r *carobrock.WorkerReport, now time.Time) {
+	if w.report == nil {
+		w.joinedAt = now
+	}
 	w.report, w.receivedAt = r, now
 	w.reported = make(map[carobrock.Run]*carobrock.RunReport, len(r.Running))
 	w.ended = make(map[carobrock.Run]bool, len(r.Ends))
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -38,6 +38,15 @@
 	// Machines records the machines of worker incarnations that have runs. It is
 	// applied after Assign.
 	Machines []WorkerMachine `cbor:"14,keyasint,omitempty"`
+	// Isolated marks runs as isolated: nothing else is assigned to their workers
+	// until they are proven or end. It is applied after Assign.
+	Isolated []WorkerRun `cbor:"15,keyasint,omitempty"`
+	// Proven records isolated or suspected runs that were seen running for so
+	// long that their tasks do not crash workers. It is applied before Assign.
+	Proven []WorkerRun `cbor:"16,keyasint,omitempty"`
+	// Survivors records worker incarnations that sent heartbeats again after
+	// their runs were lost. It is applied after Lost.
+	Survivors []WorkerIncarnation `cbor:"17,keyasint,omitempty"`
 	// AtUnixMillis is the leader's wall-clock time in milliseconds since 1970.
 	// The retention period of ended jobs is counted from it.
 	AtUnixMillis int64 `cbor:"11,keyasint,omitempty"`
@@ -78,6 +87,15 @@
 	// IncarnationEnded is set if the incarnation itself has ended, so that its
 	// record can be removed.
 	IncarnationEnded bool `cbor:"3,keyasint,omitempty"`
+	// MayHaveCrashed is set unless the worker had reported that it was leaving.
+	// If the incarnation has also ended, it has crashed.
+	MayHaveCrashed bool `cbor:"4,keyasint,omitempty"`
+	// Proven lists the runs that were seen running for so long that they are not
+	// the cause of a crash.
+	Proven []Run `cbor:"5,keyasint,omitempty"`
+	// IsWidespread is set if most workers of the availability zone were lost at
+	// about the same time, or if that is not known.
+	IsWidespread bool `cbor:"6,keyasint,omitempty"`
 }
 
 // WorkerMachine names the machine of a worker incarnation.
@@ -89,6 +107,16 @@
 	Machine string
 }
 
+// WorkerRun identifies a run together with its worker incarnation.
+type WorkerRun struct {
+	_ struct{} `cbor:",toarray"`
+	// Incarnation identifies the worker incarnation.
+	Incarnation WorkerIncarnation
+	// Task and Attempt identify the run.
+	Task    TaskRef
+	Attempt uint64
+}
+
 // WithdrawnRun is an assignment that was withdrawn before it reached its
 // worker.
 type WithdrawnRun struct {
@@ -153,6 +181,22 @@
 	// Cancelled has one element for each key of Cancel. It is false if the
 	// queue has no job with this ID.
 	Cancelled []bool
+	// Crashes lists the runs of Lost against which a crash was counted.
+	Crashes []RunCrash
+}
+
+// RunCrash is a crash of a worker that was counted against the task of a run.
+type RunCrash struct {
+	Run
+	// Incarnation is the worker incarnation that crashed.
+	Incarnation WorkerIncarnation
+	// Crashes is the number of crashes counted against the task, this one
+	// included.
+	Crashes int
+	// IsSuspect is set if the task's next run will be isolated, IsGivenUp if the
+	// job failed.
+	IsSuspect bool
+	IsGivenUp bool
 }
 
 // Encode returns the CBOR encoding of c for the replicated log. It never begins
