--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -12,9 +12,16 @@
 	for _, x := range workers {
 		rec := s.workerRecord(x.Incarnation)
 		rec.LastEndNumber, rec.EndedUnixMillis = x.LastEndNumber, x.EndedUnixMillis
+		rec.Machine, rec.LostRuns = x.Machine, x.LostRuns
 		if x.EndedUnixMillis != 0 {
 			s.endedWorkers = append(s.endedWorkers, x.Incarnation)
 		}
+		for _, r := range x.Isolated {
+			if rec.Isolated == nil {
+				rec.Isolated = map[carobrock.Run]bool{}
+			}
+			rec.Isolated[r] = true
+		}
 		for i := range x.InactiveRuns {
 			r := &x.InactiveRuns[i]
 			rec.Runs[carobrock.Run{Task: r.Task, Attempt: r.Attempt}] = &r.Step
@@ -30,6 +37,10 @@
 			s.Pending[j.Spec.Queue]++
 		}
 		s.indexRuns(j)
+		s.indexCrashedTasks(j)
+	}
+	for _, rec := range s.Workers {
+		s.indexSuspects(rec)
 	}
 	slices.SortFunc(s.Open, func(a, b *Job) int { return int(a.SubmitNumber) - int(b.SubmitNumber) })
 	slices.SortFunc(s.ended, func(a, b *Job) int { return int(a.EndedUnixMillis - b.EndedUnixMillis) })
--- a/internal/bookkeeper/runs.go
+++ b/internal/bookkeeper/runs.go
@@ -150,6 +150,7 @@
 func (s *State) removeRun(incarnation carobrock.WorkerIncarnation, r carobrock.Run) bool {
 	if rec := s.Workers[incarnation]; rec != nil {
 		delete(rec.Runs, r)
+		delete(rec.Isolated, r)
 		s.markChanged(incarnation)
 	}
 	_, st, t := s.Task(r.Task)
@@ -169,26 +170,6 @@
 	return false
 }
 
-// recordLostWorker stores the checkpoints of a lost worker incarnation, deletes its
-// runs and records whether the incarnation has ended.
-func (s *State) recordLostWorker(w *carobrock.LostWorker, atMillis int64) {
-	for i := range w.Checkpoints {
-		s.recordRunCheckpoint(&w.Checkpoints[i])
-	}
-	if rec := s.Workers[w.Incarnation]; rec != nil {
-		for r := range rec.Runs {
-			s.removeRun(w.Incarnation, r)
-		}
-	}
-	if !w.IncarnationEnded {
-		return
-	}
-	if rec := s.workerRecord(w.Incarnation); rec.EndedUnixMillis == 0 {
-		rec.EndedUnixMillis = max(1, atMillis) // zero means that it lasts
-		s.endedWorkers = append(s.endedWorkers, w.Incarnation)
-	}
-}
-
 // deleteExpiredWorkers deletes the records of the worker incarnations that ended
 // before a time in milliseconds since 1970.
 func (s *State) deleteExpiredWorkers(beforeMillis int64) {
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -107,24 +107,14 @@
 }
 
 // endEarlierIncarnations records the end of earlier incarnations on the machine
-// of r, or under its name. It does nothing if r names no machine. d.mu must be
-// held.
+// of r, or under its name. d.mu must be held.
 func (d *Dispatcher) endEarlierIncarnations(r *carobrock.WorkerReport) {
-	if r.Machine == "" {
-		return
-	}
 	for _, w := range d.workers {
-		if w.report != nil && w.report.Machine == r.Machine && w.report.WorkerIncarnation != r.WorkerIncarnation && w.report.Started <= r.Started {
+		if w.report != nil && r.Machine != "" && w.report.Machine == r.Machine && w.report.WorkerIncarnation != r.WorkerIncarnation && w.report.Started <= r.Started {
 			d.endIncarnation(w, "a newer worker runs on the machine")
 		}
 	}
-	d.StateMachine.View(func(s *bookkeeper.State) {
-		for incarnation, rec := range s.Workers {
-			if incarnation.Name == r.Name && incarnation.Started < r.Started && rec.EndedUnixMillis == 0 {
-				d.addLoss(incarnation, nil, true)
-			}
-		}
-	})
+	d.endReplacedIncarnations(r)
 }
 
 // endIncarnation removes a worker whose incarnation has ended from the worker
@@ -179,6 +169,10 @@
 func (d *Dispatcher) addLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
 	lost, isKnown := d.losses[incarnation]
 	lost.Incarnation = incarnation
+	if !isKnown {
+		lost.MayHaveCrashed = w == nil || !w.report.Leaving
+		lost.IsWidespread = d.isWidespread(w, time.Now())
+	}
 	if incarnationEnded && !lost.IncarnationEnded {
 		lost.IncarnationEnded = true
 		if !isKnown {
@@ -186,7 +180,7 @@
 		}
 	}
 	if w != nil {
-		lost.Checkpoints = w.checkpoints()
+		lost.Checkpoints, lost.Proven = w.checkpoints(), w.provenRuns()
 		w.releaseResponse()
 	}
 	d.losses[incarnation] = lost
