--- a/interfaces.go
+++ b/interfaces.go
@@ -9,8 +9,8 @@
 // Journal stores the durable state of one replica. It is not safe for
 // concurrent use.
 type Journal interface {
-	// Open reads the durable state. It returns an error if the stored data is
-	// corrupt.
+	// Open reads the state and makes it durable before it returns. It returns an
+	// error if the stored data is corrupt.
 	Open() (*JournalState, error)
 	// Append makes hs and entries durable before it returns. An entry replaces
 	// all earlier entries with the same or a higher index. A nil hs leaves the
--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -30,8 +30,10 @@
 	// durable.
 	WriteFile(name string, data []byte) error
 	// OpenAppend truncates a file to size bytes, creating it if necessary, and
-	// opens it for appending.
+	// opens it for appending. The name of a new file is durable when it returns.
 	OpenAppend(name string, size int64) (File, error)
+	// Sync returns when the names of all files are durable.
+	Sync() error
 	// Close releases the lock.
 	Close() error
 }
@@ -86,7 +88,7 @@
 	if err := os.Rename(tmp, path); err != nil {
 		return err
 	}
-	return d.syncDirectory()
+	return d.Sync()
 }
 
 func writeAndSync(path string, data []byte) error {
@@ -116,14 +118,15 @@
 		return nil, errors.Join(err, f.Close())
 	}
 	if errors.Is(statErr, fs.ErrNotExist) {
-		if err := d.syncDirectory(); err != nil {
+		if err := d.Sync(); err != nil {
 			return nil, errors.Join(err, f.Close())
 		}
 	}
 	return f, nil
 }
 
-func (d *DiskDirectory) syncDirectory() error {
+// Sync implements Directory.
+func (d *DiskDirectory) Sync() error {
 	f, err := os.Open(d.Path)
 	if err != nil {
 		return err
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -71,7 +71,12 @@
 	return state, nil
 }
 
+// loadState reads the files. What it returns is durable: before it reads, it syncs
+// the directory, because a killed process may have renamed files without a sync.
 func (j *Journal) loadState() (*carobrock.JournalState, error) {
+	if err := j.Directory.Sync(); err != nil {
+		return nil, eris.Wrap(ErrDisk, err.Error())
+	}
 	id, err := j.loadIdentity()
 	if err != nil {
 		return nil, err
@@ -85,13 +90,26 @@
 	if err != nil {
 		return nil, err
 	}
-	j.logFile, err = j.Directory.OpenAppend(logFileName, size)
-	if err != nil {
+	if err := j.openLog(size); err != nil {
 		return nil, eris.Wrap(ErrDisk, err.Error())
 	}
 	return state, nil
 }
 
+// openLog opens the log file for appending and makes its content durable, because
+// a killed process may have written records that it did not sync.
+func (j *Journal) openLog(size int64) error {
+	f, err := j.Directory.OpenAppend(logFileName, size)
+	if err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	j.logFile = f
+	return nil
+}
+
 func (j *Journal) loadIdentity() (*identity, error) {
 	id := &identity{}
 	data, err := j.Directory.ReadFile(identityFileName)
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io/fs"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,83 +17,6 @@
 	"github.com/carobrock/carobrock/internal/replicator"
 )
 
-// memoryDirectory is an in-memory data directory. Only synced data survives a
-// crash.
-type memoryDirectory struct {
-	mu        sync.Mutex
-	durable   map[string][]byte
-	openFile  *memoryFile
-	syncError error // if not nil, every Sync and WriteFile fails
-}
-
-type memoryFile struct {
-	directory *memoryDirectory
-	name      string
-	buf       []byte
-	crashed   bool
-}
-
-func newMemoryDirectory() *memoryDirectory { return &memoryDirectory{durable: map[string][]byte{}} }
-
-func (m *memoryDirectory) Lock() error  { return nil }
-func (m *memoryDirectory) Close() error { return nil }
-
-func (m *memoryDirectory) ReadFile(name string) ([]byte, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	data, ok := m.durable[name]
-	if !ok {
-		return nil, fs.ErrNotExist
-	}
-	return slices.Clone(data), nil
-}
-
-func (m *memoryDirectory) WriteFile(name string, data []byte) error {
-	time.Sleep(syncDuration)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.durable[name] = slices.Clone(data)
-	return m.syncError
-}
-
-func (m *memoryDirectory) OpenAppend(name string, size int64) (journaler.File, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.durable[name] = m.durable[name][:size]
-	m.openFile = &memoryFile{directory: m, name: name, buf: slices.Clone(m.durable[name])}
-	return m.openFile, nil
-}
-
-// syncDuration is the duration of a sync in virtual time.
-const syncDuration = time.Millisecond
-
-func (f *memoryFile) Write(p []byte) (int, error) {
-	f.buf = append(f.buf, p...)
-	return len(p), nil
-}
-
-func (f *memoryFile) Sync() error {
-	time.Sleep(syncDuration)
-	f.directory.mu.Lock()
-	defer f.directory.mu.Unlock()
-	if f.crashed || f.directory.syncError != nil {
-		return fs.ErrClosed
-	}
-	f.directory.durable[f.name] = slices.Clone(f.buf)
-	return nil
-}
-
-func (f *memoryFile) Close() error { return nil }
-
-// crash discards unsynced data and makes a sync in progress fail.
-func (m *memoryDirectory) crash() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.openFile != nil {
-		m.openFile.crashed = true
-	}
-}
-
 // cluster is a control group in one synctest bubble whose links can be cut.
 type cluster struct {
 	t          *testing.T
@@ -194,6 +116,15 @@
 
 // kill ends the replica immediately. Unsynced data is lost.
 func (nd *node) kill() {
+	if nd.cancel == nil {
+		return
+	}
+	nd.killProcess()
+	nd.directory.losePower(nil)
+}
+
+// killProcess ends the replica immediately. Its files remain as they are.
+func (nd *node) killProcess() {
 	if nd.cancel == nil {
 		return
 	}
