Replicator: remove an unreachable voter after its successor's promotion

Cause: a voter that had been silent for 2 s was removed before the promotion of the spare that replaced it. In between the group had 2f voters, of which a majority is f+1, so f lost disks left it without a majority for ever. The replaced voter had its disk, but was no member any more.

Ruled out: a lost or reverted entry. The logs of the replicas that were left held every acknowledged change; they could not elect.

Fix: the spare is promoted first, which gives 2f+2 voters and a majority of f+2, and the silent voter is removed then. A member whose machine came back with an empty disk is still removed first: it never votes again, and with it 2f+2 voters would bear one loss less. Every step is still a change of a single member. If the second step is interrupted, the leader removes the surplus voter, the one silent for longest.

--- a/internal/recruiter/doc.go
+++ b/internal/recruiter/doc.go
@@ -9,5 +9,6 @@
 // spare and does not count towards any majority. Members are changed one at a
 // time and only after the new member has caught up, so that the loss of another
 // replica immediately afterwards loses no committed entry (Ongaro 2014,
-// chapter 4).
+// chapter 4). A silent member is removed after the promotion of its successor;
+// the leader removes the voter that is left over if this was interrupted.
 package recruiter
--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -43,6 +43,8 @@
 	// AdmitVoter makes newMember a voter in place of the member replacedID, or an
 	// additional voter if replacedID is zero.
 	AdmitVoter(ctx context.Context, newMember *encoder.Member, replacedID uint64) error
+	// RemoveMember removes the member with the given ID.
+	RemoveMember(ctx context.Context, id uint64) error
 }
 
 // joinRequest is the body of a MethodJoin call: the ID, name, address and
@@ -115,6 +117,7 @@
 		}
 		if s.Leader == s.ID {
 			r.learnZones(ctx, &s)
+			r.removeSurplusVoter(ctx, &s)
 		}
 		if isVoter(&s) || s.Role == "forming" {
 			continue
@@ -174,6 +177,24 @@
 	return cbor.Marshal(true)
 }
 
+// removeSurplusVoter removes a voter if there are more than the target number,
+// which is so after an admission that was interrupted.
+func (r *Recruiter) removeSurplusVoter(ctx context.Context, s *carobrock.ReplicaStatus) {
+	surplusID, ok := surplusVoter(r.describeMembers(s), r.wantVoters())
+	if !ok || s.LeaseMillis == 0 || !r.tryBeginAdmission() {
+		return
+	}
+	defer r.endAdmission()
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	log := r.Logger.With().Uint64("leaving", surplusID).Logger()
+	if err := r.Group.RemoveMember(ctx, surplusID); err != nil {
+		log.Warn().Err(err).Msg("recruiter: cannot remove a surplus voter")
+		return
+	}
+	log.Info().Msg("recruiter: surplus voter removed")
+}
+
 // tryBeginAdmission marks an admission as running, unless one is running
 // already, and reports whether it did. If so, endAdmission must be called after
 // the admission.
--- a/internal/recruiter/recruiter_test.go
+++ b/internal/recruiter/recruiter_test.go
@@ -103,3 +103,34 @@
 		}
 	}
 }
+
+// Guards against a group that keeps a dead voter after an interrupted admission.
+func TestSurplusVoterIsRemoved(t *testing.T) {
+	voter := func(id uint64, zone string, silentMillis int64) member {
+		m := member{zone: zone, isSelf: id == 1, isSilent: silentMillis >= DefaultSilentAfter.Milliseconds()}
+		m.ID, m.Voter, m.SilentMillis = id, true, silentMillis
+		return m
+	}
+	learner := member{zone: "z1"}
+	learner.ID = 9
+	for _, test := range []struct {
+		name    string
+		members []member
+		want    uint64
+		wantOK  bool
+	}{
+		{name: "no surplus", members: []member{voter(1, "z1", 0), voter(2, "z2", 9000), voter(3, "z3", 10)}},
+		{name: "learners do not count", members: []member{voter(1, "z1", 0), voter(2, "z2", 0), voter(3, "z3", 10), learner}},
+		{name: "silent voter", members: []member{voter(1, "z1", 0), voter(2, "z1", 0), voter(3, "z2", 3000), voter(4, "z3", 10)}, want: 3, wantOK: true},
+		{name: "longest silent voter", members: []member{voter(1, "z1", 0), voter(2, "z1", 2500), voter(3, "z2", 3000), voter(4, "z3", 2200)}, want: 3, wantOK: true},
+		{name: "all respond, fullest zone", members: []member{voter(1, "z1", 0), voter(2, "z2", 100), voter(3, "z1", 10), voter(4, "z3", 50)}, want: 3, wantOK: true},
+		{name: "never the leader", members: []member{voter(1, "z1", 9000), voter(2, "z2", 10), voter(3, "z3", 10), voter(4, "z4", 10)}, want: 2, wantOK: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got, ok := surplusVoter(test.members, defaultVoters)
+			if got != test.want || ok != test.wantOK {
+				t.Errorf("surplus voter %d, %v; want %d, %v", got, ok, test.want, test.wantOK)
+			}
+		})
+	}
+}
--- a/internal/recruiter/spread.go
+++ b/internal/recruiter/spread.go
@@ -61,3 +61,35 @@
 		return 0, false
 	}
 }
+
+// surplusVoter returns the ID of the voter to remove and whether there are more
+// than wantVoters voters. It is the voter that has been silent for the longest
+// time, else one in the availability zone with the most voters. It is never the
+// leader.
+func surplusVoter(members []member, wantVoters int) (uint64, bool) {
+	voters, perZone := 0, map[string]int{}
+	for i := range members {
+		if members[i].Voter {
+			voters++
+			perZone[members[i].zone]++
+		}
+	}
+	if voters <= wantVoters {
+		return 0, false
+	}
+	var surplus *member
+	for i := range members {
+		m := &members[i]
+		if !m.Voter || m.isSelf {
+			continue
+		}
+		switch {
+		case surplus == nil, m.isSilent && !surplus.isSilent:
+			surplus = m
+		case m.isSilent != surplus.isSilent:
+		case m.isSilent && m.SilentMillis > surplus.SilentMillis, !m.isSilent && perZone[m.zone] > perZone[surplus.zone]:
+			surplus = m
+		}
+	}
+	return surplus.ID, true
+}
--- a/internal/replicator/replace.go
+++ b/internal/replicator/replace.go
@@ -57,24 +57,60 @@
 }
 
 // AdmitVoter makes newMember a voter in place of the member replacedID, or an
-// additional voter if replacedID is zero, with the same steps, guarantees and
-// errors as ReplaceMember. The new member may have been a member before under
-// the same ID.
+// additional voter if replacedID is zero, with the guarantees and errors of
+// ReplaceMember. The new member may have been a member before under the same ID.
+//
+// A member that has lost its disk is removed before the promotion, as it counts in
+// the majority but can never vote again. Any other member is removed after it:
+// without it the group would have an even number of voters, of which it could not
+// lose half, and a replica that is merely unreachable could not help, because it
+// would be no member.
 func (r *Replica) AdmitVoter(ctx context.Context, newMember *encoder.Member, replacedID uint64) error {
 	learner := &encoder.Member{Id: newMember.GetId(), Name: newMember.GetName(), Address: newMember.GetAddress()}
-	return r.addAndPromote(ctx, learner,
-		func(ms *encoder.Members) (*encoder.Members, error) {
-			if findMember(ms, learner.GetId()) != nil {
-				return ms, nil
-			}
-			return withMember(ms, learner), nil
-		},
-		func(ms *encoder.Members) (*encoder.Members, error) {
-			if findMember(ms, replacedID) == nil {
-				return ms, nil
-			}
-			return withoutMember(ms, replacedID), nil
+	add := func(ms *encoder.Members) (*encoder.Members, error) {
+		if findMember(ms, learner.GetId()) != nil {
+			return ms, nil
+		}
+		return withMember(ms, learner), nil
+	}
+	if r.hasLostDisk(replacedID, learner) {
+		return r.addAndPromote(ctx, learner, add, func(ms *encoder.Members) (*encoder.Members, error) {
+			return withoutMemberIfPresent(ms, replacedID), nil
 		})
+	}
+	keep := func(ms *encoder.Members) (*encoder.Members, error) { return ms, nil }
+	if err := r.addAndPromote(ctx, learner, add, keep); err != nil {
+		return err
+	}
+	return r.RemoveMember(ctx, replacedID)
+}
+
+// hasLostDisk reports whether the member with the given ID has the name or the
+// address of another replica, which can only be because it has lost its disk.
+func (r *Replica) hasLostDisk(id uint64, other *encoder.Member) bool {
+	for _, m := range r.Status().Members {
+		if m.ID == id {
+			return m.Name == other.GetName() || m.Address == other.GetAddress()
+		}
+	}
+	return false
+}
+
+// RemoveMember removes the member with the given ID, if there is one. It fails with
+// ErrNotLeader, ErrOutcomeUnknown, ErrStopped or the context's error.
+func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
+	return r.changeMembers(ctx, func(ms *encoder.Members) (*encoder.Members, error) {
+		return withoutMemberIfPresent(ms, id), nil
+	})
+}
+
+// withoutMemberIfPresent returns ms without the member with the given ID, or ms
+// itself if there is no such member.
+func withoutMemberIfPresent(ms *encoder.Members, id uint64) *encoder.Members {
+	if findMember(ms, id) == nil {
+		return ms
+	}
+	return withoutMember(ms, id)
 }
 
 // addAndPromote applies add, waits until the learner has caught up, applies
