Recruiter: make the leader known to processes whose seeds are no members

Cause: a process finds the leader through its seeds. A seed whose replica was replaced while it was cut off never heard of it, because a removed member gets no messages any more. It took itself for a voter, so it never asked to be admitted and could name no leader. A seed that had lost its disk knew only the seeds, and a seed without a replica only what its callers told it.

Ruled out: the limit of one admission at a time, and the time that an admission takes (about 50 ms).

Fix: a replica that follows no leader sends join requests even if it takes itself for a voter, and names the leader that answered the last one. The leader answers true to a replica that is a voter already. The leader announces its address every 1.5 s to the known processes that do not follow it. A replica that is no voter forgets its leader after an election timeout, as voters do.

--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -90,7 +90,10 @@
 }
 
 // replicaLeadership adapts a replica to dispatcher.Leadership.
-type replicaLeadership struct{ *replicator.Replica }
+type replicaLeadership struct {
+	*replicator.Replica
+	recruiter *recruiter.Recruiter
+}
 
 var _ dispatcher.Leadership = replicaLeadership{}
 
@@ -112,7 +115,7 @@
 	if s.Leader == s.ID {
 		return ""
 	}
-	return s.LeaderAddress
+	return l.recruiter.LeaderAddress()
 }
 
 // uptime returns the time since boot, including the time that the machine was
@@ -151,18 +154,18 @@
 			NewIncarnation: func() uint64 { return rand.Uint64() | 1 },
 		},
 	}
+	leaderLocator := &locator.Locator{RPCClient: ms, Logger: logger}
+	leaderLocator.SetSeeds(s.Seeds)
+	r := &recruiter.Recruiter{
+		Group: replica, Locator: leaderLocator, Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Voters: s.Voters, Logger: logger,
+	}
 	d := &dispatcher.Dispatcher{
-		StateMachine: stateMachine, Leadership: replicaLeadership{replica}, Settings: s.Dispatcher, Advisor: s.Advisor, WorkerAddress: s.ControlAddress, Logger: logger,
+		StateMachine: stateMachine, Leadership: replicaLeadership{Replica: replica, recruiter: r}, Settings: s.Dispatcher, Advisor: s.Advisor, WorkerAddress: s.ControlAddress, Logger: logger,
 	}
 	d.Prepare()
 	if err := replica.Prepare(); err != nil {
 		return nil, errors.Join(eris.Wrapf(ErrSettings, "data directory %s: %v", s.DataDir, err), peerListener.Close())
 	}
-	leaderLocator := &locator.Locator{RPCClient: ms, Logger: logger}
-	leaderLocator.SetSeeds(s.Seeds)
-	r := &recruiter.Recruiter{
-		Group: replica, Locator: leaderLocator, Address: s.PeerAddress, AvailabilityZone: s.AvailabilityZone, Voters: s.Voters, Logger: logger,
-	}
 	ms.Handlers = locator.Handlers(d)
 	maps.Copy(ms.Handlers, r.Handlers())
 	ms.OnMessage = replica.ReceiveMessage
--- a/internal/launcher/relay.go
+++ b/internal/launcher/relay.go
@@ -37,6 +37,7 @@
 	leaderLocator.SetSeeds(s.Seeds)
 	self := &encoder.Member{Name: s.Name, Address: s.PeerAddress}
 	ms.Handlers = locator.NotLeaderHandlers(leaderLocator)
+	ms.Handlers[recruiter.MethodAnnounce] = recruiter.AnnounceHandler(leaderLocator)
 	ms.OnMessage = func(m *encoder.Message) { replicator.AnswerProbeWithoutReplica(ms, self, m) }
 	ms.Prepare()
 	return &JobRelay{
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -68,6 +68,15 @@
 	l.mergeAddresses(members)
 }
 
+// AddLeader adds the address of a replica that reports that it leads. It becomes
+// the leader if none is known.
+func (l *Locator) AddLeader(address string) {
+	l.AddMembers([]string{address})
+	if l.Leader() == "" {
+		l.adoptLeader(address)
+	}
+}
+
 // mergeAddresses moves members and seeds to the front of the known addresses. It
 // keeps the older addresses after them in case both are out of date.
 func (l *Locator) mergeAddresses(members []string) {
--- a/internal/recruiter/doc.go
+++ b/internal/recruiter/doc.go
@@ -11,4 +11,9 @@
 // replica immediately afterwards loses no committed entry (Ongaro 2014,
 // chapter 4). A silent member is removed after the promotion of its successor;
 // the leader removes the voter that is left over if this was interrupted.
+//
+// The leader also announces itself to the known processes that do not follow it,
+// and a replica that follows no leader asks for one, even if it takes itself for
+// a voter, and names it to others. So processes find the leader although none of
+// their seeds is a member any more.
 package recruiter
--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
@@ -23,6 +24,9 @@
 	MethodJoin = "group/join"
 	// MethodMembers is the method that returns the members known to a replica.
 	MethodMembers = "group/members"
+	// MethodAnnounce is the method by which the leader tells its address to
+	// processes that may not know any member.
+	MethodAnnounce = "group/announce"
 
 	// DefaultSilentAfter is the time without a response from a member after
 	// which the member may be replaced. It is longer than an election and
@@ -30,6 +34,8 @@
 	DefaultSilentAfter = 2 * time.Second
 	// joinInterval is the time between join requests of a spare.
 	joinInterval = 500 * time.Millisecond
+	// announceEvery is the number of join intervals between announcements.
+	announceEvery = 3
 	// requestTimeout is the timeout of one request to a replica.
 	requestTimeout = 2 * time.Second
 	// admitTimeout is the timeout of one admission.
@@ -87,6 +93,9 @@
 
 	mu        sync.Mutex
 	admitting bool
+	// confirmedLeader is the address of the leader that answered the last join
+	// request, empty if none did or if none was sent.
+	confirmedLeader string
 	// zones holds the availability zones of members by ID, as far as they are known.
 	zones map[uint64]string
 }
@@ -95,22 +104,59 @@
 
 // Handlers returns the handlers for the recruiter's methods.
 func (r *Recruiter) Handlers() map[string]messenger.Handler {
-	return map[string]messenger.Handler{MethodJoin: r.handleJoin, MethodMembers: r.handleMembers}
+	return map[string]messenger.Handler{MethodJoin: r.handleJoin, MethodMembers: r.handleMembers, MethodAnnounce: AnnounceHandler(r.Locator)}
+}
+
+// AnnounceHandler returns the handler for MethodAnnounce of a process that finds
+// the leader with l.
+func AnnounceHandler(l *locator.Locator) messenger.Handler {
+	return func(_ context.Context, body []byte) ([]byte, error) {
+		address := ""
+		if err := cbor.Unmarshal(body, &address); err != nil {
+			return nil, &messenger.RemoteError{Code: "refused", Text: err.Error()}
+		}
+		l.AddLeader(address)
+		return nil, nil
+	}
 }
 
 func (r *Recruiter) handleMembers(context.Context, []byte) ([]byte, error) {
 	s := r.Group.Status()
-	response := membersResponse{Leader: s.LeaderAddress, ID: s.ID, AvailabilityZone: r.AvailabilityZone}
+	response := membersResponse{Leader: r.leaderAddress(&s), ID: s.ID, AvailabilityZone: r.AvailabilityZone}
+	if response.Leader != "" {
+		response.Members = append(response.Members, response.Leader)
+	}
 	for _, m := range s.Members {
-		response.Members = append(response.Members, m.Address)
+		if m.Address != response.Leader {
+			response.Members = append(response.Members, m.Address)
+		}
 	}
 	return cbor.Marshal(&response)
 }
 
-// Run periodically asks the leader to admit this replica while it is not a
-// voter, until ctx ends.
+// LeaderAddress returns the address of the leader, empty if it is unknown.
+func (r *Recruiter) LeaderAddress() string {
+	s := r.Group.Status()
+	return r.leaderAddress(&s)
+}
+
+// leaderAddress returns the address of the leader that the replica follows. A
+// replica that follows none may have been replaced; then it returns that of the
+// leader that answered the last join request.
+func (r *Recruiter) leaderAddress(s *carobrock.ReplicaStatus) string {
+	if s.LeaderAddress != "" {
+		return s.LeaderAddress
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmedLeader
+}
+
+// Run periodically asks the leader to admit this replica while it is not a voter
+// or follows no leader, until ctx ends. A replica that was replaced while it was
+// unreachable still has the membership in which it is a voter.
 func (r *Recruiter) Run(ctx context.Context) error {
-	for sleeper.Sleep(ctx, joinInterval) == nil {
+	for tick := 0; sleeper.Sleep(ctx, joinInterval) == nil; tick++ {
 		s := r.Group.Status()
 		for i := range s.Members {
 			r.Locator.AddMembers([]string{s.Members[i].Address})
@@ -118,27 +164,79 @@
 		if s.Leader == s.ID {
 			r.learnZones(ctx, &s)
 			r.removeSurplusVoter(ctx, &s)
+			if tick%announceEvery == 0 {
+				r.announceLeader(ctx, &s)
+			}
 		}
-		if isVoter(&s) || s.Role == "forming" {
+		if s.Role == "forming" || isVoter(&s) && s.Leader != 0 {
+			r.setConfirmedLeader("")
 			continue
 		}
-		body, err := cbor.Marshal(&joinRequest{ID: s.ID, Name: s.Name, Address: r.Address, AvailabilityZone: r.AvailabilityZone})
-		if err != nil {
-			return err
-		}
-		callCtx, cancel := context.WithTimeout(ctx, requestTimeout)
-		_, err = r.Locator.Call(callCtx, MethodJoin, body)
-		cancel()
-		if err != nil {
+		if err := r.requestAdmission(ctx, &s); err != nil {
+			r.setConfirmedLeader("")
 			r.Logger.Debug().Err(err).Msg("recruiter: join request failed")
+			continue
 		}
+		r.setConfirmedLeader(r.Locator.Leader())
 	}
 	return nil
 }
 
-func isVoter(s *carobrock.ReplicaStatus) bool {
+// requestAdmission sends one join request to the leader.
+func (r *Recruiter) requestAdmission(ctx context.Context, s *carobrock.ReplicaStatus) error {
+	body, err := cbor.Marshal(&joinRequest{ID: s.ID, Name: s.Name, Address: r.Address, AvailabilityZone: r.AvailabilityZone})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	_, err = r.Locator.Call(ctx, MethodJoin, body)
+	return err
+}
+
+func (r *Recruiter) setConfirmedLeader(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmedLeader = address
+}
+
+// announceLeader tells this replica's address to the known processes that do not
+// follow it as members. After the loss of their memory or disk they may know
+// only seeds none of which is a member.
+func (r *Recruiter) announceLeader(ctx context.Context, s *carobrock.ReplicaStatus) {
+	if s.LeaseMillis == 0 {
+		return
+	}
+	body, err := cbor.Marshal(r.Address)
+	if err != nil {
+		r.Logger.Warn().Err(err).Msg("recruiter: cannot encode an announcement")
+		return
+	}
+	follows := map[string]bool{r.Address: true}
+	for _, m := range r.describeMembers(s) {
+		follows[m.Address] = follows[m.Address] || !m.isSilent && m.Match > 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinInterval)
+	defer cancel()
+	calls := conc.NewWaitGroup()
+	defer calls.Wait()
+	for _, address := range r.Locator.KnownAddresses() {
+		if follows[address] {
+			continue
+		}
+		calls.Go(func() {
+			if _, err := r.Locator.RPCClient.Call(ctx, address, MethodAnnounce, body); err != nil {
+				r.Logger.Debug().Err(err).Str("address", address).Msg("recruiter: announcement failed")
+			}
+		})
+	}
+}
+
+func isVoter(s *carobrock.ReplicaStatus) bool { return isVoterID(s, s.ID) }
+
+func isVoterID(s *carobrock.ReplicaStatus, id uint64) bool {
 	for i := range s.Members {
-		if s.Members[i].ID == s.ID {
+		if s.Members[i].ID == id {
 			return s.Members[i].Voter
 		}
 	}
@@ -150,12 +248,15 @@
 func (r *Recruiter) handleJoin(_ context.Context, body []byte) ([]byte, error) {
 	s := r.Group.Status()
 	if s.Leader != s.ID || s.LeaseMillis == 0 {
-		return nil, &messenger.RemoteError{Code: locator.CodeNotLeader, Text: s.LeaderAddress}
+		return nil, &messenger.RemoteError{Code: locator.CodeNotLeader, Text: r.leaderAddress(&s)}
 	}
 	request := &joinRequest{}
 	if err := cbor.Unmarshal(body, request); err != nil {
 		return nil, &messenger.RemoteError{Code: "refused", Text: err.Error()}
 	}
+	if isVoterID(&s, request.ID) {
+		return cbor.Marshal(true)
+	}
 	replacedID, ok := memberToReplace(r.describeMembers(&s), r.wantVoters(), request)
 	if !ok || !r.tryBeginAdmission() {
 		return cbor.Marshal(false)
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -14,6 +14,8 @@
 	"github.com/carobrock/carobrock/internal/encoder"
 	"github.com/carobrock/carobrock/internal/journaler"
 	"github.com/carobrock/carobrock/internal/keeper"
+	"github.com/carobrock/carobrock/internal/locator"
+	"github.com/carobrock/carobrock/internal/recruiter"
 	"github.com/carobrock/carobrock/internal/replicator"
 )
 
@@ -26,6 +28,11 @@
 	cutLinks   map[[2]string]bool // by the addresses of sender and receiver
 	lossRate   float64            // fraction of messages lost
 	goroutines *conc.WaitGroup
+	// voters is the target number of voters of the recruiters. Zero: the nodes run
+	// no recruiter.
+	voters int
+	// relays holds the locators of the processes without a replica, by address.
+	relays map[string]*locator.Locator
 }
 
 // node is one replica with its disk.
@@ -39,12 +46,17 @@
 	incarnation uint64
 	// uptime is the replica's Uptime function. Nil: none.
 	uptime func() time.Duration
+	// availabilityZone is where the node runs, known to its recruiter.
+	availabilityZone string
+	// seeds are the seeds of the recruiter. Nil: the first three nodes.
+	seeds []string
 
-	replica *replicator.Replica
-	keeper  *keeper.Keeper
-	cancel  context.CancelFunc
-	done    chan struct{}
-	paused  chan struct{} // closed when the node is resumed; nil if it is not paused
+	replica   *replicator.Replica
+	keeper    *keeper.Keeper
+	recruiter *recruiter.Recruiter
+	cancel    context.CancelFunc
+	done      chan struct{}
+	paused    chan struct{} // closed when the node is resumed; nil if it is not paused
 }
 
 const (
@@ -105,12 +117,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	nd.cluster.mu.Lock()
-	nd.replica, nd.keeper, nd.cancel, nd.done = r, k, cancel, done
+	nd.replica, nd.keeper, nd.cancel, nd.done, nd.recruiter = r, k, cancel, done, nd.newRecruiter(r)
+	rec := nd.recruiter
 	nd.cluster.mu.Unlock()
 	nd.cluster.goroutines.Go(func() {
 		defer close(done)
 		_ = r.Run(ctx)
 	})
+	if rec != nil {
+		nd.cluster.goroutines.Go(func() { _ = rec.Run(ctx) })
+	}
 	return true
 }
 
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -7,14 +7,15 @@
 )
 
 // startElection starts a pre-vote, or an election if preVote is false. On a
-// replica that is not a voter it only resets the election timeout.
+// replica that is not a voter it only resets the election timeout and forgets the
+// leader.
 func (c *core) startElection(now time.Time, preVote bool) {
 	c.resetElectionDeadline(now)
+	c.leaderID = 0
 	if !c.isVoter(c.self.GetId()) {
 		return
 	}
 	c.roleMachine.Fire(eventElectionTimeout)
-	c.leaderID = 0
 	c.preVoting = preVote
 	c.votes = map[uint64]bool{c.self.GetId(): true}
 	kind := encoder.MessageKind_MESSAGE_KIND_PRE_VOTE
