Recruiter: end an admission whose replica is lost

Cause: an admission waits up to 15 s for the new replica to catch up, and only one runs at a time. A replica that lost its disk or its power in these milliseconds kept all others out for 15 s, itself under its new ID included. The voters must be complete again 4 s after a return, when the next disks may be lost.

Ruled out: the search for the leader; the leader had the join requests and refused them.

Fix: the leader cancels an admission when the same replica asks again under another ID, or when the new replica has been silent for 2 s. A slow replica that is cut short stays a learner and goes on with the next request.

--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -91,8 +91,9 @@
 	SilentAfter time.Duration
 	Logger      zerolog.Logger
 
-	mu        sync.Mutex
-	admitting bool
+	mu sync.Mutex
+	// current is the change of the membership that is running, nil if there is none.
+	current *admission
 	// confirmedLeader is the address of the leader that answered the last join
 	// request, empty if none did or if none was sent.
 	confirmedLeader string
@@ -100,6 +101,13 @@
 	zones map[uint64]string
 }
 
+// admission is a running change of the membership.
+type admission struct {
+	// request is the request of the replica that is being admitted.
+	request *joinRequest
+	cancel  context.CancelFunc
+}
+
 const defaultVoters = 3
 
 // Handlers returns the handlers for the recruiter's methods.
@@ -258,12 +266,16 @@
 		return cbor.Marshal(true)
 	}
 	replacedID, ok := memberToReplace(r.describeMembers(&s), r.wantVoters(), request)
-	if !ok || !r.tryBeginAdmission() {
+	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
+	defer cancel()
+	if !ok || !r.tryBeginAdmission(&admission{request: request, cancel: cancel}) {
 		return cbor.Marshal(false)
 	}
 	defer r.endAdmission()
-	ctx, cancel := context.WithTimeout(context.Background(), admitTimeout)
+	watch := conc.NewWaitGroup()
+	defer watch.Wait()
 	defer cancel()
+	watch.Go(func() { r.cancelWhenSilent(ctx, cancel, request.ID) })
 	log := r.Logger.With().Str("name", request.Name).Str("address", request.Address).Uint64("leaving", replacedID).Logger()
 	log.Info().Int("voters", countVoters(&s)).Msg("recruiter: admitting replica as voter")
 	err := r.Group.AdmitVoter(ctx, &encoder.Member{Id: request.ID, Name: request.Name, Address: request.Address}, replacedID)
@@ -282,12 +294,12 @@
 // which is so after an admission that was interrupted.
 func (r *Recruiter) removeSurplusVoter(ctx context.Context, s *carobrock.ReplicaStatus) {
 	surplusID, ok := surplusVoter(r.describeMembers(s), r.wantVoters())
-	if !ok || s.LeaseMillis == 0 || !r.tryBeginAdmission() {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	if !ok || s.LeaseMillis == 0 || !r.tryBeginAdmission(&admission{request: &joinRequest{}, cancel: cancel}) {
 		return
 	}
 	defer r.endAdmission()
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
 	log := r.Logger.With().Uint64("leaving", surplusID).Logger()
 	if err := r.Group.RemoveMember(ctx, surplusID); err != nil {
 		log.Warn().Err(err).Msg("recruiter: cannot remove a surplus voter")
@@ -296,23 +308,42 @@
 	log.Info().Msg("recruiter: surplus voter removed")
 }
 
-// tryBeginAdmission marks an admission as running, unless one is running
-// already, and reports whether it did. If so, endAdmission must be called after
-// the admission.
-func (r *Recruiter) tryBeginAdmission() bool {
+// cancelWhenSilent cancels an admission when the replica that is being admitted
+// has been silent for some time, so that others can be admitted. It returns when
+// ctx ends.
+func (r *Recruiter) cancelWhenSilent(ctx context.Context, cancel context.CancelFunc, id uint64) {
+	for sleeper.Sleep(ctx, joinInterval) == nil {
+		s := r.Group.Status()
+		for _, m := range r.describeMembers(&s) {
+			if m.ID == id && !m.isSelf && m.isSilent {
+				cancel()
+			}
+		}
+	}
+}
+
+// tryBeginAdmission records a as running, unless an admission is running already,
+// and reports whether it did. If so, endAdmission must be called after the
+// admission. It cancels a running admission of the same replica under an earlier
+// ID, because that incarnation has lost its disk.
+func (r *Recruiter) tryBeginAdmission(a *admission) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.admitting {
-		return false
+	if r.current == nil {
+		r.current = a
+		return true
 	}
-	r.admitting = true
-	return true
+	running := r.current.request
+	if running.ID != a.request.ID && (running.Name == a.request.Name || running.Address == a.request.Address) {
+		r.current.cancel()
+	}
+	return false
 }
 
 func (r *Recruiter) endAdmission() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.admitting = false
+	r.current = nil
 }
 
 func countVoters(s *carobrock.ReplicaStatus) int {
--- a/internal/replicator/recruited_test.go
+++ b/internal/replicator/recruited_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
 	"github.com/carobrock/carobrock/internal/locator"
 	"github.com/carobrock/carobrock/internal/messenger"
@@ -192,3 +194,43 @@
 		}
 	})
 }
+
+// Guards against an admission that waits for a replica which lost its disk or its
+// power meanwhile, and blocks all others.
+func TestAdmissionOfALostReplicaBlocksNoOther(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		returns bool // the replica comes back with an empty disk
+		within  time.Duration
+	}{
+		{name: "comes back", returns: true, within: catchUpTime},
+		{name: "stays away", within: catchUpTime + recruiter.DefaultSilentAfter},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newRecruitedCluster(t, 3, 3)
+				defer c.stop()
+				spare := c.nodes[3]
+				spare.kill()
+				leader := c.waitForLeader()
+				lost := c.nodesExcept(leader)[0]
+				lost.wipeDisk()
+				lost.start()
+				id := lost.replica.Status().ID
+				for !slices.ContainsFunc(leader.replica.Status().Members, func(m carobrock.MemberStatus) bool { return m.ID == id }) {
+					time.Sleep(100 * time.Microsecond)
+				}
+				lost.wipeDisk()
+				next := spare
+				if test.returns {
+					next = lost
+				}
+				next.start()
+				time.Sleep(test.within)
+				if !c.isVoter(next) {
+					t.Errorf("replica %s is no voter %v after its start", next.name, test.within)
+				}
+			})
+		})
+	}
+}
