Bookkeeper: delete ended jobs in the same order after a restore

Would be seen: replicas that disagree on whether an ended job still exists, so that a second submission of its ID starts a new job on one and refers to the old one on the other, and a read after a change of leader shows another state.

Cause: ended jobs were kept in the order of the commands that ended them, and deletion stops at the first one that is not due.

--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -29,7 +29,7 @@
 		s.indexRuns(j)
 	}
 	slices.SortFunc(s.Open, func(a, b *Job) int { return int(a.SubmitNumber) - int(b.SubmitNumber) })
-	slices.SortFunc(s.ended, func(a, b *Job) int { return int(a.EndedUnixMillis - b.EndedUnixMillis) })
+	slices.SortFunc(s.ended, compareEnds)
 }
 
 // indexRuns adds the active runs of j to the records of their workers.
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -1,6 +1,8 @@
 package bookkeeper
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,7 +38,9 @@
 	Open []*Job `cbor:"-"`
 	// Pending counts the jobs without assigned tasks by the key of their queue.
 	Pending map[string]int `cbor:"-"`
-	// ended holds the ended jobs in the order of their ends.
+	// ended holds the ended jobs in the order of compareEnds. It must not be the
+	// order of the commands, which a snapshot does not contain and which differs
+	// from it when the leader's clock jumps.
 	ended []*Job
 	// changeCount counts the changes of worker records.
 	changeCount uint64
@@ -261,7 +265,8 @@
 	j.State, j.EndedUnixMillis = state, atMillis
 	j.forEachRun(func(_ carobrock.TaskRef, r *TaskRun) { s.markChanged(r.Incarnation) })
 	j.Spec.Steps, j.Spec.Payload, j.Occurrences = nil, "", nil
-	s.ended = append(s.ended, j)
+	position, _ := slices.BinarySearchFunc(s.ended, j, compareEnds)
+	s.ended = slices.Insert(s.ended, position, j)
 	for i, o := range s.Open {
 		if o == j {
 			s.Open = append(s.Open[:i], s.Open[i+1:]...)
@@ -270,6 +275,11 @@
 	}
 }
 
+// compareEnds orders ended jobs by the time of their end, then by submission.
+func compareEnds(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.EndedUnixMillis, b.EndedUnixMillis), cmp.Compare(a.SubmitNumber, b.SubmitNumber))
+}
+
 // deleteExpiredJobs deletes the jobs that ended before a time in milliseconds
 // since 1970.
 func (s *State) deleteExpiredJobs(beforeMillis int64) {
