--- a/internal/bookkeeper/crashes.go
+++ b/internal/bookkeeper/crashes.go
@@ -73,7 +73,8 @@
 	}
 	rec.EndedUnixMillis = max(1, atMillis) // zero means that it lasts
 	rec.LostRuns = nil
-	s.endedWorkers = append(s.endedWorkers, w.Incarnation)
+	position, _ := slices.BinarySearchFunc(s.endedWorkers, w.Incarnation, s.compareWorkerEnds)
+	s.endedWorkers = slices.Insert(s.endedWorkers, position, w.Incarnation)
 	if w.MayHaveCrashed {
 		for i := range unproven {
 			s.countCrash(&unproven[i], w.Incarnation, atMillis, res)
--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -43,10 +43,8 @@
 		s.indexSuspects(rec)
 	}
 	slices.SortFunc(s.Open, func(a, b *Job) int { return int(a.SubmitNumber) - int(b.SubmitNumber) })
-	slices.SortFunc(s.ended, func(a, b *Job) int { return int(a.EndedUnixMillis - b.EndedUnixMillis) })
-	slices.SortFunc(s.endedWorkers, func(a, b carobrock.WorkerIncarnation) int {
-		return int(s.Workers[a].EndedUnixMillis - s.Workers[b].EndedUnixMillis)
-	})
+	slices.SortFunc(s.ended, compareEnds)
+	slices.SortFunc(s.endedWorkers, s.compareWorkerEnds)
 }
 
 // indexRuns adds the active runs of j to the records of their workers.
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -1,6 +1,7 @@
 package bookkeeper
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -41,9 +42,12 @@
 	// Suspects holds the tasks of open jobs under which workers have crashed or may
 	// have crashed, unless a later run was proven.
 	Suspects map[carobrock.TaskRef]bool `cbor:"-"`
-	// ended holds the ended jobs in the order of their ends.
+	// ended holds the ended jobs in the order of compareEnds. It must not be the
+	// order of the commands, which a snapshot does not contain and which differs
+	// from it when the leader's clock jumps.
 	ended []*Job
-	// endedWorkers holds the ended worker incarnations in the order of their ends.
+	// endedWorkers holds the ended worker incarnations in the order of
+	// compareWorkerEnds, for the same reason.
 	endedWorkers []carobrock.WorkerIncarnation
 	// changeCount counts the changes of worker records.
 	changeCount uint64
@@ -292,7 +296,8 @@
 	j.forEachRun(func(_ carobrock.TaskRef, r *TaskRun) { s.markChanged(r.Incarnation) })
 	j.Spec.Steps, j.Spec.Payload, j.Occurrences = nil, "", nil
 	maps.DeleteFunc(s.Suspects, func(ref carobrock.TaskRef, _ bool) bool { return ref.Job == j.Spec.ID })
-	s.ended = append(s.ended, j)
+	position, _ := slices.BinarySearchFunc(s.ended, j, compareEnds)
+	s.ended = slices.Insert(s.ended, position, j)
 	for i, o := range s.Open {
 		if o == j {
 			s.Open = append(s.Open[:i], s.Open[i+1:]...)
@@ -301,6 +306,11 @@
 	}
 }
 
+// compareEnds orders ended jobs by the time of their end, then by submission.
+func compareEnds(a, b *Job) int {
+	return cmp.Or(cmp.Compare(a.EndedUnixMillis, b.EndedUnixMillis), cmp.Compare(a.SubmitNumber, b.SubmitNumber))
+}
+
 // deleteExpiredJobs deletes the jobs that ended before a time in milliseconds
 // since 1970.
 func (s *State) deleteExpiredJobs(beforeMillis int64) {
--- a/internal/bookkeeper/runs.go
+++ b/internal/bookkeeper/runs.go
@@ -1,11 +1,19 @@
 package bookkeeper
 
-import "github.com/carobrock/carobrock"
+import (
+	"cmp"
+
+	"github.com/carobrock/carobrock"
+)
 
 // assignTask records a run. An assignment that is inconsistent with the state is
 // ignored: the attempt must be the next one, the step must be ready, and no other
-// run of the task may be active unless the step is speculative.
+// run of the task may be active unless the step is speculative. An ended worker
+// incarnation gets no run.
 func (s *State) assignTask(a *carobrock.TaskAssignment) {
+	if rec := s.Workers[a.Incarnation]; rec != nil && rec.EndedUnixMillis != 0 {
+		return
+	}
 	j := s.Jobs[a.Task.Job]
 	if j == nil || !j.IsOpen() || a.Task.Occurrence >= len(j.Occurrences) || a.Task.Step >= len(j.Spec.Steps) {
 		return
@@ -170,6 +178,13 @@
 	return false
 }
 
+// compareWorkerEnds orders ended worker incarnations by the time of their end, then
+// by name and start.
+func (s *State) compareWorkerEnds(a, b carobrock.WorkerIncarnation) int {
+	return cmp.Or(cmp.Compare(s.Workers[a].EndedUnixMillis, s.Workers[b].EndedUnixMillis),
+		cmp.Compare(a.Name, b.Name), cmp.Compare(a.Started, b.Started))
+}
+
 // deleteExpiredWorkers deletes the records of the worker incarnations that ended
 // before a time in milliseconds since 1970.
 func (s *State) deleteExpiredWorkers(beforeMillis int64) {
