Dispatcher: a new leader waits for the leases that were granted, not for the longest allowed

Would be seen: a service of a worker that is lost together with the leader stays away for 10.7 s where the platform allows leases of 10 s, 6.5 s where it allows 6 s.

Cause: a new leader cannot know the leases of earlier ones and assumed the longest that the platform allows; leaders grant 4 s. The length of the lease that a leader grants is now in the replicated state. It travels with the first command of a leader that grants a longer one, and no lease is granted before that is committed. A state without it, from an earlier version, has the longest allowed as before.

--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -34,6 +34,9 @@
 	// Interference is the interference model that the leader recorded last, nil if
 	// there is none.
 	Interference *carobrock.Interference `cbor:"6,keyasint,omitempty"`
+	// LeaseMillis is the longest lease that a leader may have granted to a worker, in
+	// milliseconds, zero if it is not known.
+	LeaseMillis int64 `cbor:"7,keyasint,omitempty"`
 
 	// Open holds the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
@@ -213,6 +216,7 @@
 	if c.Interference != nil {
 		s.Interference = c.Interference
 	}
+	s.LeaseMillis = max(s.LeaseMillis, c.LeaseMillis)
 	s.deleteExpiredJobs(c.AtUnixMillis - retentionMillis)
 	s.deleteExpiredWorkers(c.AtUnixMillis - retentionMillis)
 	return res
--- a/internal/dispatcher/batcher.go
+++ b/internal/dispatcher/batcher.go
@@ -143,6 +143,9 @@
 // carobrock.ErrOutcomeUnknown if it is unknown whether the command was committed.
 func (d *Dispatcher) proposeCommand(ctx context.Context, term uint64, c *carobrock.JobCommand) (*carobrock.JobResult, error) {
 	c.AtUnixMillis = d.Now().UnixMilli()
+	if !d.isLeaseRecorded() {
+		c.LeaseMillis = d.Settings.Lease.Milliseconds()
+	}
 	data, err := c.Encode()
 	if err != nil {
 		return nil, eris.Wrap(carobrock.ErrNotApplied, err.Error())
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -32,8 +32,8 @@
 	// Lease is how long runs may continue without a heartbeat. Zero means 4 s. It
 	// is lowered to MaxLease if it exceeds it.
 	Lease time.Duration
-	// MaxLease is the longest lease that an earlier leader may have granted. Zero
-	// means Lease.
+	// MaxLease is the longest lease that an earlier leader may have granted if the
+	// replicated state does not tell. Zero means Lease.
 	MaxLease time.Duration
 	// MaxDirectWorkers is the number of workers that are directed to the leader. The
 	// others keep sending heartbeats to the process that they have found, which
@@ -83,7 +83,9 @@
 	// noticed that it leads in that term.
 	term      uint64
 	termStart time.Time
-	workers   map[string]*worker // by name
+	// inheritedLease is the longest lease that earlier leaders may have granted.
+	inheritedLease time.Duration
+	workers        map[string]*worker // by name
 	// losses holds the losses of worker incarnations from their detection until
 	// they are committed. The incarnations get no orders during that time.
 	losses     map[carobrock.WorkerIncarnation]pendingLoss
@@ -196,7 +198,13 @@
 		d.losses = map[carobrock.WorkerIncarnation]pendingLoss{}
 		d.directWorkers, d.suspectsSince, d.recentLosses = 0, nil, nil
 		d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
-		d.StateMachine.View(func(s *bookkeeper.State) { d.model, d.baseline = pacer.Import(s.Interference) })
+		d.StateMachine.View(func(s *bookkeeper.State) {
+			d.model, d.baseline = pacer.Import(s.Interference)
+			d.inheritedLease = d.Settings.MaxLease
+			if s.LeaseMillis > 0 {
+				d.inheritedLease = time.Duration(s.LeaseMillis) * time.Millisecond
+			}
+		})
 		d.modelRecordedAt = d.termStart
 		d.Logger.Info().Uint64("term", term).Msg("dispatcher: this replica is the leader")
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
 )
 
 func TestJobRunsToCompletion(t *testing.T) {
@@ -137,6 +138,50 @@
 	})
 }
 
+// Guards against a service that stays away for the longest lease that the platform
+// allows, although no leader grants one as long: the worker was lost with the leader.
+func TestServiceOfAWorkerLostWithItsLeaderIsBackAfterTheGrantedLease(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// forget removes the granted lease from the state, as in a log of a program that
+		// did not record it.
+		forget bool
+		want   time.Duration
+	}{
+		{name: "lease recorded", want: leaseWithMargins},
+		{name: "lease not recorded", forget: true, want: maxTestLease*103/100 + 300*time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := prepareHarness(t)
+				h.d.Settings.MaxLease = maxTestLease
+				h.start(nil)
+				defer h.stop()
+				a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+				h.must(a.sendHeartbeat())
+				service := oneCoreStep(1)
+				service.Service = true
+				h.submitJob("job", service)
+				a.sendHeartbeatsFor(300 * time.Millisecond)
+				if test.forget {
+					h.stateMachine.View(func(s *bookkeeper.State) { s.LeaseMillis = 0 })
+				}
+				h.log.setTerm(2)
+				electedAt := time.Now()
+				for len(b.runNames()) == 0 && time.Since(electedAt) < 2*maxTestLease {
+					h.must(b.sendHeartbeat())
+					time.Sleep(40 * time.Millisecond)
+				}
+				if got := time.Since(electedAt); got < test.want || got > test.want+500*time.Millisecond {
+					t.Errorf("service started on another worker %v after the election, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
+const maxTestLease = 10 * time.Second
+
 // Guards against withdrawing a run while its end is being committed: it was
 // taken for a run that never reached its worker and was started again.
 func TestEndOnItsWayIsNotWithdrawn(t *testing.T) {
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -336,13 +336,13 @@
 }
 
 // buildResponse returns the orders for a worker and extends its lease. The orders
-// are empty if a newer heartbeat has arrived or the loss of the worker is being
-// committed. It fails with a *locator.NotLeaderError if this replica is no longer
+// are empty if a newer heartbeat has arrived, the loss of the worker is being
+// committed or the next leader would not know the length of its lease. It fails with a *locator.NotLeaderError if this replica is no longer
 // the leader.
 func (d *Dispatcher) buildResponse(w *worker, r *carobrock.WorkerReport, received time.Time) (*carobrock.HeartbeatResponse, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w.report != r || d.isBeingLost(r.WorkerIncarnation) {
+	if w.report != r || d.isBeingLost(r.WorkerIncarnation) || !d.isLeaseRecorded() {
 		return &carobrock.HeartbeatResponse{RetryMillis: d.rhythm.retryMillis()}, nil
 	}
 	response := &carobrock.HeartbeatResponse{
@@ -405,6 +405,13 @@
 	return nil
 }
 
+// isLeaseRecorded reports whether the replicated state tells later leaders of leases
+// as long as those that this leader grants.
+func (d *Dispatcher) isLeaseRecorded() (ok bool) {
+	d.StateMachine.View(func(s *bookkeeper.State) { ok = s.LeaseMillis >= d.Settings.Lease.Milliseconds() })
+	return ok
+}
+
 // latestLeaseExpiry returns the time by which a lease granted in response to a
 // heartbeat received at the given time has certainly expired on the worker's
 // clock.
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -161,7 +161,7 @@
 // inheritedLeaseExpiry returns the time by which all leases of earlier leaders have
 // expired.
 func (d *Dispatcher) inheritedLeaseExpiry() time.Time {
-	return latestLeaseExpiry(d.termStart, d.Settings.MaxLease)
+	return latestLeaseExpiry(d.termStart, d.inheritedLease)
 }
 
 // findLostWorkers adds the losses of the worker incarnations with runs whose
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -47,6 +47,9 @@
 	// Survivors records worker incarnations that sent heartbeats again after
 	// their runs were lost. It is applied after Lost.
 	Survivors []WorkerIncarnation `cbor:"17,keyasint,omitempty"`
+	// LeaseMillis is the length of the leases that the leader is about to grant to
+	// workers, in milliseconds, if a longer one than before.
+	LeaseMillis int64 `cbor:"18,keyasint,omitempty"`
 	// AtUnixMillis is the leader's wall-clock time in milliseconds since 1970.
 	// The retention period of ended jobs is counted from it.
 	AtUnixMillis int64 `cbor:"11,keyasint,omitempty"`
