Dispatcher: a silent worker without runs is forgotten after its lease

Would be seen: a worker that restarted after its clock had stepped back gets no tasks for as long as the leader stays. Its start is earlier than that of the worker which the leader remembers under the name or on the machine, so its heartbeats counted as late ones. Workers with runs are given up when their leases have expired, those without were remembered for ever; they also kept their places among the workers that are directed to the leader.

--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -165,8 +165,15 @@
 }
 
 // findLostWorkers adds the losses of the worker incarnations with runs whose
-// leases have all expired.
+// leases have all expired, and forgets those without runs.
 func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time) {
+	for _, w := range d.workers {
+		rec := s.Workers[w.report.WorkerIncarnation]
+		if now.After(w.leaseExpiry) && (rec == nil || len(rec.Runs) == 0) && !d.isBeingLost(w.report.WorkerIncarnation) {
+			d.Logger.Info().Str("worker", w.report.Name).Dur("silent", now.Sub(w.receivedAt)).Msg("dispatcher: worker without runs is silent; it is forgotten until it is heard of again")
+			d.removeWorker(w)
+		}
+	}
 	inheritedExpiry := d.inheritedLeaseExpiry()
 	for incarnation, rec := range s.Workers {
 		if len(rec.Runs) == 0 || d.isBeingLost(incarnation) {
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -156,6 +156,32 @@
 	})
 }
 
+// Guards against a silent worker without runs that is remembered for ever: the worker
+// that runs on its machine after a step of the clock was never given a lease.
+func TestWorkerStartedBeforeASilentOneIsUsedAfterTheLease(t *testing.T) {
+	for _, test := range []struct{ name, worker string }{
+		{"same name", "a"},
+		{"new name on the machine", "b"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				a := h.newWorker("a", 4)
+				a.report.Started = 1000
+				h.must(a.sendHeartbeat())
+				b := h.newWorker(test.worker, 4)
+				b.report.Machine, b.report.Started = "m-a", 500
+				h.submitJob("job", oneCoreStep(1))
+				b.sendHeartbeatsFor(2 * leaseWithMargins)
+				if got := b.runNames(); len(got) != 1 {
+					t.Errorf("runs %v on the worker that is there, want one", got)
+				}
+			})
+		})
+	}
+}
+
 // A response that was held when the leader lost its leadership carries no orders.
 func TestHeldResponseAfterLossOfLeadershipCarriesNoOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
