Dispatcher: count the losses of the first seconds of a term for an outage

Callers would see a job fail that never crashed a worker: its service was isolated after two crashes of others' making, and its worker then crashed in an outage of all workers that was taken for a crash of this worker alone.

Cause: a leader whose term is younger than 3 s took every loss to be widespread, but did not note it. Workers that were back in these seconds were missing from the count for those that were back a little later: of seven lost workers it counted three.

Evidence: the new test, which replaces all workers around the third second of a term, failed before with each of 3 runs: "crash_test.go:606: job state failed, want running".

Ruled out by the trace of a failing run: each crash was counted once, for a run that the worker had, and had happened.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -302,7 +302,7 @@
 // does not know the worker, or is too new to know of the others, the loss is taken to
 // be widespread. d.mu must be held.
 func (d *Dispatcher) isWidespread(lost *worker, now time.Time) bool {
-	if lost == nil || now.Sub(d.termStart) < outageTime {
+	if lost == nil {
 		return true
 	}
 	zone := lost.report.AvailabilityZone
@@ -310,6 +310,9 @@
 		return now.Sub(x.at) > outageTime || x.machine == lost.report.Machine
 	})
 	d.recentLosses = append(d.recentLosses, zoneLoss{now, lost.report.Machine, zone})
+	if now.Sub(d.termStart) < outageTime {
+		return true
+	}
 	gone, total := 0, 0
 	for _, x := range d.recentLosses {
 		if x.zone == zone {
--- a/internal/dispatcher/crash_test.go
+++ b/internal/dispatcher/crash_test.go
@@ -558,6 +558,57 @@
 	}
 }
 
+// Guards against a leader that does not count the losses of the first seconds of its term.
+func TestOutageAtTheStartOfATermDoesNotGiveTheTaskUp(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		crashed int // number of workers that crash, the one with the suspect first
+		want    carobrock.JobState
+	}{
+		{name: "one worker", crashed: 1, want: carobrock.JobFailed},
+		{name: "all workers", crashed: 5, want: carobrock.JobRunning},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				h.submitJob("job", oneCoreStep(1))
+				crashTwice(h)
+				c := h.newWorker("c", 4)
+				c.report.Machine, c.report.Started = "m", 3
+				c.sendHeartbeatsFor(lossTime)
+				fleet := []*fakeWorker{c}
+				for i := range 4 {
+					fleet = append(fleet, h.newWorker(fmt.Sprint("w", i), 4))
+				}
+				h.log.setTerm(2)
+				elected := time.Now()
+				h.sendHeartbeats(4, fleet...)
+				if got := c.runNames(); !cmp.Equal(got, []string{"job.0#3"}) {
+					t.Fatalf("runs %v, want the suspect", got)
+				}
+				restart := func(i int) {
+					next := h.newWorker(fmt.Sprint("next-", i), 4)
+					next.report.Machine, next.report.Started = fleet[i].report.Machine, 4
+					fleet[i] = next
+				}
+				time.Sleep(500 * time.Millisecond)
+				for i := 1; i < test.crashed; i++ {
+					restart(i)
+				}
+				for time.Since(elected) < 3200*time.Millisecond {
+					h.sendHeartbeats(1, fleet[1:]...)
+				}
+				restart(0)
+				h.sendHeartbeats(20, fleet...)
+				if s := h.jobState("job"); s != test.want {
+					t.Errorf("job state %s, want %s", s, test.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a suspect that waits without end since more urgent tasks, which
 // never settle, take every worker first.
 func TestSuspectStartsAmongShortTasks(t *testing.T) {
