Dispatcher: wait for the last heartbeats of a worker no longer than its leases

Callers would see a service without its task for more than 6 s.

Cause: the loss of a replaced worker is proposed a second after its end. A replacement that joined right before the leases of the earlier worker expired put the loss off from 4.4 s to 5.5 s after the last heartbeat. If the leader changed before the loss was committed, the next one waited for another second.

Now the loss is proposed when the leases have expired, if that comes before the end of the second: the runs of a worker whose end is not known are given up at that time too.

Evidence: TestServiceStaysDownAfterItsWorkerWasReplaced failed before in the two cases "new leader, back before the leases expire": "service without its task for 6.48s, at most 6s are allowed".

Ruled out: to let the new leader propose the loss at once. It cannot know when the worker ended, and its last ends may be on their way.

--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -155,17 +155,20 @@
 	// endedAt is when the end of the incarnation was noticed, zero if the leases of
 	// its runs had expired before.
 	endedAt time.Time
+	// leaseExpiry is when the leases of its runs have expired.
+	leaseExpiry time.Time
 }
 
 // isDue reports whether the loss may be proposed.
 func (l *pendingLoss) isDue(now time.Time) bool {
-	return !now.Before(l.endedAt.Add(heartbeatTransit))
+	return !now.Before(l.endedAt.Add(heartbeatTransit)) || now.After(l.leaseExpiry)
 }
 
 // addLoss adds the loss of a worker incarnation, which a placement round proposes.
 // Checkpoints are included if w is not nil. incarnationEnded is set if the
 // incarnation itself has ended. Its last heartbeats may then still be on their way,
-// so that its loss is due when they have arrived. d.mu must be held.
+// so that its loss is due when they have arrived, but not later than without its
+// known end. d.mu must be held.
 func (d *Dispatcher) addLoss(incarnation carobrock.WorkerIncarnation, w *worker, incarnationEnded bool) {
 	lost, isKnown := d.losses[incarnation]
 	lost.Incarnation = incarnation
@@ -176,7 +179,7 @@
 	if incarnationEnded && !lost.IncarnationEnded {
 		lost.IncarnationEnded = true
 		if !isKnown {
-			lost.endedAt = time.Now()
+			lost.endedAt, lost.leaseExpiry = time.Now(), d.leaseExpiry(w)
 		}
 	}
 	if w != nil {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -164,26 +164,36 @@
 	return latestLeaseExpiry(d.termStart, d.Settings.MaxLease)
 }
 
+// leaseExpiry returns the time by which all leases of a worker have expired. w is
+// nil if the worker sent no heartbeat in this term. d.mu must be held.
+func (d *Dispatcher) leaseExpiry(w *worker) time.Time {
+	expiry := d.inheritedLeaseExpiry()
+	if w != nil && w.leaseExpiry.After(expiry) {
+		return w.leaseExpiry
+	}
+	return expiry
+}
+
 // findLostWorkers adds the losses of the worker incarnations with runs whose
 // leases have all expired.
 func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time) {
-	inheritedExpiry := d.inheritedLeaseExpiry()
 	for incarnation, rec := range s.Workers {
 		if len(rec.Runs) == 0 || d.isBeingLost(incarnation) {
 			continue
 		}
 		w := d.workers[incarnation.Name]
-		if w == nil || w.report.WorkerIncarnation != incarnation {
-			if now.After(inheritedExpiry) {
-				d.Logger.Warn().Str("worker", incarnation.Name).Int("runs", len(rec.Runs)).Msg("dispatcher: worker sent no heartbeat in this term and its leases have expired; its runs are lost")
-				d.addLoss(incarnation, nil, false)
-			}
+		if w != nil && w.report.WorkerIncarnation != incarnation {
+			w = nil
+		}
+		if !now.After(d.leaseExpiry(w)) {
 			continue
 		}
-		if now.After(w.leaseExpiry) && now.After(inheritedExpiry) {
+		if w == nil {
+			d.Logger.Warn().Str("worker", incarnation.Name).Int("runs", len(rec.Runs)).Msg("dispatcher: worker sent no heartbeat in this term and its leases have expired; its runs are lost")
+		} else {
 			d.Logger.Warn().Str("worker", incarnation.Name).Int("runs", len(rec.Runs)).Dur("silent", now.Sub(w.receivedAt)).Msg("dispatcher: worker is silent and its leases have expired; its runs are lost")
-			d.addLoss(incarnation, w, false)
 		}
+		d.addLoss(incarnation, w, false)
 	}
 }
 
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -218,3 +218,78 @@
 		}
 	})
 }
+
+// maxServiceGap is the longest time for which a service may be without its task.
+const maxServiceGap = 6 * time.Second
+
+// Guards against waiting for the last heartbeats of a replaced worker beyond its leases.
+func TestServiceStaysDownAfterItsWorkerWasReplaced(t *testing.T) {
+	leave := func(h *harness, v *fakeWorker) {
+		v.report.Leaving = true
+		h.must(v.sendHeartbeat())
+		h.must(h.d.RemoveWorker(context.Background(), v.report.Name))
+	}
+	for _, test := range []struct {
+		name string
+		// end is called after the last heartbeat with the run, unless it is nil.
+		end func(h *harness, v *fakeWorker)
+		// newName is the name of the replacement, which joins downTime later.
+		newName  string
+		downTime time.Duration
+		// electedAfter is the time from the first heartbeat of the replacement to a new
+		// leader, zero if there is none.
+		electedAfter time.Duration
+	}{
+		{name: "same leader", newName: "c", downTime: 3300 * time.Millisecond},
+		{name: "same leader, same name", newName: "a", downTime: 3300 * time.Millisecond},
+		{name: "same leader, back before the leases expire", newName: "c", downTime: 4300 * time.Millisecond},
+		{name: "new leader at once", newName: "c", downTime: 3300 * time.Millisecond, electedAfter: 50 * time.Millisecond},
+		{name: "new leader at once, same name", newName: "a", downTime: 3300 * time.Millisecond, electedAfter: 50 * time.Millisecond},
+		{name: "new leader within the second", newName: "c", downTime: 3300 * time.Millisecond, electedAfter: 500 * time.Millisecond},
+		{name: "new leader before the loss is proposed", newName: "c", downTime: 3300 * time.Millisecond, electedAfter: 990 * time.Millisecond},
+		{name: "new leader before the loss is proposed, same name", newName: "a", downTime: 3300 * time.Millisecond, electedAfter: 990 * time.Millisecond},
+		{name: "new leader, back before the leases expire", newName: "c", downTime: 4300 * time.Millisecond, electedAfter: 990 * time.Millisecond},
+		{name: "new leader, back before the leases expire, same name", newName: "a", downTime: 4300 * time.Millisecond, electedAfter: 990 * time.Millisecond},
+		{name: "new leader before the loss is proposed, back just in time", newName: "c", downTime: 3400 * time.Millisecond, electedAfter: 990 * time.Millisecond},
+		{name: "left", end: leave, newName: "c", downTime: 10 * time.Second},
+		{name: "left, new leader", end: leave, newName: "c", downTime: 500 * time.Millisecond, electedAfter: 400 * time.Millisecond},
+		{name: "left, new leader before the replacement", end: leave, newName: "c", downTime: 10 * time.Second, electedAfter: -9100 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+				h.must(a.sendHeartbeat())
+				service := oneCoreStep(1)
+				service.Service = true
+				h.submitJob("service", service)
+				a.sendHeartbeatsFor(5 * time.Second)
+				if got := a.runNames(); !cmp.Equal(got, []string{"service.0#1"}) {
+					t.Fatalf("runs %v, want the service", got)
+				}
+				lastRun := time.Now()
+				if test.end != nil {
+					test.end(h, a)
+				}
+				replacement := h.newWorker(test.newName, 4)
+				replacement.report.Machine, replacement.report.Started = "m-a", 2
+				isElected := test.electedAfter == 0
+				for time.Since(lastRun) < 2*maxServiceGap && len(b.runNames())+len(replacement.runNames()) == 0 {
+					if !isElected && time.Since(lastRun) >= test.downTime+test.electedAfter {
+						isElected = true
+						h.log.setTerm(2)
+					}
+					fleet := []*fakeWorker{b}
+					if time.Since(lastRun) >= test.downTime {
+						fleet = append(fleet, replacement)
+					}
+					h.sendHeartbeats(1, fleet...)
+				}
+				if gap := time.Since(lastRun); gap >= maxServiceGap {
+					t.Errorf("service without its task for %v, at most %v are allowed", gap, maxServiceGap)
+				}
+			})
+		})
+	}
+}
