Dispatcher: workers that joined after an outage are not its survivors

Callers would see a job fail that never crashed a worker, if an outage met the only worker of its zone that was back from the outage before.

Cause: a loss counted as widespread if it met more than half of the workers that the zone had when the loss was judged, some seconds after the crash. Workers that had joined in the meantime counted as spared. Now only those count that were there before the last heartbeat of the lost worker and still are.

TestOutageOfTheOnlyWorkerDoesNotGiveTheTaskUp failed in its case "others are back later": "job state failed, want running"; the other case shows that a crash that others survive still decides.

Ruled out: a crash that was counted twice (the trace shows three for three), and the order of losses, as the outcome did not change from run to run.

Open: with no other loss and no silent worker an outage of the only worker is still taken for a crash.

--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -297,10 +297,11 @@
 	zone    string
 }
 
-// isWidespread notes the loss of a worker and reports whether more than half of the
-// workers of its availability zone were lost lately or are silent. If this leader
-// does not know the worker, or is too new to know of the others, the loss is taken to
-// be widespread. d.mu must be held.
+// isWidespread notes the loss of a worker and reports whether more workers of its
+// availability zone were lost lately or are silent than have survived, that is, were
+// there before its last heartbeat and still are. If this leader does not know the
+// worker, or is too new to know of the others, the loss is taken to be widespread.
+// d.mu must be held.
 func (d *Dispatcher) isWidespread(lost *worker, now time.Time) bool {
 	if lost == nil {
 		return true
@@ -313,22 +314,24 @@
 	if now.Sub(d.termStart) < outageTime {
 		return true
 	}
-	gone, total := 0, 0
+	gone, survivors := 0, 0
 	for _, x := range d.recentLosses {
 		if x.zone == zone {
 			gone++
 		}
 	}
 	for _, w := range d.workers {
-		if w == lost || w.report == nil || w.report.AvailabilityZone != zone {
-			continue
-		}
-		total++
-		if w.isSilent(now) && !d.isBeingLost(w.report.WorkerIncarnation) {
-			gone++
+		switch {
+		case w == lost || w.report == nil || w.report.AvailabilityZone != zone:
+		case w.isSilent(now):
+			if !d.isBeingLost(w.report.WorkerIncarnation) {
+				gone++
+			}
+		case !w.joinedAt.After(lost.receivedAt):
+			survivors++
 		}
 	}
-	return gone >= minOutageWorkers && 2*gone > total
+	return gone >= minOutageWorkers && gone > survivors
 }
 
 // logCrashes logs what the crashes and proven runs of a committed command mean for
--- a/internal/dispatcher/crash_test.go
+++ b/internal/dispatcher/crash_test.go
@@ -609,6 +609,51 @@
 	}
 }
 
+// Guards against taking workers that joined after an outage for its survivors.
+func TestOutageOfTheOnlyWorkerDoesNotGiveTheTaskUp(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// areThere is set if the other workers were there before the crash.
+		areThere bool
+		want     carobrock.JobState
+	}{
+		{name: "others survive", areThere: true, want: carobrock.JobFailed},
+		{name: "others are back later", want: carobrock.JobRunning},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				time.Sleep(5 * time.Second) // the leader knows what has happened lately
+				h.submitJob("job", oneCoreStep(1))
+				crashTwice(h)
+				c := h.newWorker("c", 4)
+				c.report.Machine, c.report.Started = "m", 3
+				c.sendHeartbeatsFor(lossTime)
+				var others []*fakeWorker
+				for i := range 7 {
+					others = append(others, h.newWorker(fmt.Sprint("w", i), 4))
+				}
+				if test.areThere {
+					h.sendHeartbeats(1, others...)
+				}
+				h.must(c.sendHeartbeat())
+				if got := c.runNames(); !cmp.Equal(got, []string{"job.0#3"}) {
+					t.Fatalf("runs %v, want the suspect", got)
+				}
+				h.sendHeartbeats(5, others...)
+				h.sendHeartbeats(10, others[2:]...) // two are silent
+				next := h.newWorker("next", 4)
+				next.report.Machine, next.report.Started = c.report.Machine, 4
+				h.sendHeartbeats(20, append(others[2:], next)...)
+				if s := h.jobState("job"); s != test.want {
+					t.Errorf("job state %s, want %s", s, test.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a suspect that waits without end since more urgent tasks, which
 // never settle, take every worker first.
 func TestSuspectStartsAmongShortTasks(t *testing.T) {
