--- a/internal/dispatcher/crash_test.go
+++ b/internal/dispatcher/crash_test.go
@@ -558,6 +558,102 @@
 	}
 }
 
+// Guards against a leader that does not count the losses of the first seconds of its term.
+func TestOutageAtTheStartOfATermDoesNotGiveTheTaskUp(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		crashed int // number of workers that crash, the one with the suspect first
+		want    carobrock.JobState
+	}{
+		{name: "one worker", crashed: 1, want: carobrock.JobFailed},
+		{name: "all workers", crashed: 5, want: carobrock.JobRunning},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				h.submitJob("job", oneCoreStep(1))
+				crashTwice(h)
+				c := h.newWorker("c", 4)
+				c.report.Machine, c.report.Started = "m", 3
+				c.sendHeartbeatsFor(lossTime)
+				fleet := []*fakeWorker{c}
+				for i := range 4 {
+					fleet = append(fleet, h.newWorker(fmt.Sprint("w", i), 4))
+				}
+				h.log.setTerm(2)
+				elected := time.Now()
+				h.sendHeartbeats(4, fleet...)
+				if got := c.runNames(); !cmp.Equal(got, []string{"job.0#3"}) {
+					t.Fatalf("runs %v, want the suspect", got)
+				}
+				restart := func(i int) {
+					next := h.newWorker(fmt.Sprint("next-", i), 4)
+					next.report.Machine, next.report.Started = fleet[i].report.Machine, 4
+					fleet[i] = next
+				}
+				time.Sleep(500 * time.Millisecond)
+				for i := 1; i < test.crashed; i++ {
+					restart(i)
+				}
+				for time.Since(elected) < 3200*time.Millisecond {
+					h.sendHeartbeats(1, fleet[1:]...)
+				}
+				restart(0)
+				h.sendHeartbeats(20, fleet...)
+				if s := h.jobState("job"); s != test.want {
+					t.Errorf("job state %s, want %s", s, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against taking workers that joined after an outage for its survivors.
+func TestOutageOfTheOnlyWorkerDoesNotGiveTheTaskUp(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// areThere is set if the other workers were there before the crash.
+		areThere bool
+		want     carobrock.JobState
+	}{
+		{name: "others survive", areThere: true, want: carobrock.JobFailed},
+		{name: "others are back later", want: carobrock.JobRunning},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				time.Sleep(5 * time.Second) // the leader knows what has happened lately
+				h.submitJob("job", oneCoreStep(1))
+				crashTwice(h)
+				c := h.newWorker("c", 4)
+				c.report.Machine, c.report.Started = "m", 3
+				c.sendHeartbeatsFor(lossTime)
+				var others []*fakeWorker
+				for i := range 7 {
+					others = append(others, h.newWorker(fmt.Sprint("w", i), 4))
+				}
+				if test.areThere {
+					h.sendHeartbeats(1, others...)
+				}
+				h.must(c.sendHeartbeat())
+				if got := c.runNames(); !cmp.Equal(got, []string{"job.0#3"}) {
+					t.Fatalf("runs %v, want the suspect", got)
+				}
+				h.sendHeartbeats(5, others...)
+				h.sendHeartbeats(10, others[2:]...) // two are silent
+				next := h.newWorker("next", 4)
+				next.report.Machine, next.report.Started = c.report.Machine, 4
+				h.sendHeartbeats(20, append(others[2:], next)...)
+				if s := h.jobState("job"); s != test.want {
+					t.Errorf("job state %s, want %s", s, test.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a suspect that waits without end since more urgent tasks, which
 // never settle, take every worker first.
 func TestSuspectStartsAmongShortTasks(t *testing.T) {
