Tests: concurrent test binaries use separate ports

Cause: the first port followed from the process ID (97 ports per ID in a range of 22,000), so binaries whose IDs differ by 227 or 1134 started 19 or 2 ports apart, and a port counted as free as soon as the check had closed it.

Evidence: two copies of TestKillNine with process IDs 14451 and 15585, so 2 ports apart.

Only cmd/carobrock chose ports in this way; the other tests bind port 0 and keep the listener, or need an address on which nobody listens.

--- a/cmd/carobrock/main_test.go
+++ b/cmd/carobrock/main_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,38 +37,6 @@
 	})
 }
 
-// Range of the ports of the tests' processes. It is below the kernel's ephemeral
-// range, because an outgoing connection could otherwise take the port of a
-// process that is restarting.
-const (
-	firstPort = 10_000
-	lastPort  = 32_000
-)
-
-// nextPort is the next port to try. Concurrent test binaries start at different
-// ports, derived from their process IDs.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 97) }
-
-// freeAddresses returns n loopback addresses whose ports were free when checked.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
-		if err != nil {
-			if tries > lastPort-firstPort {
-				return nil, err
-			}
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 const requestTimeout = 10 * time.Second
 
 // scriptHTTP implements the script command
