Admitter: a pause of an upstream is not taken for overload

Callers would be refused with 503, "notRun", "the pool is overloaded" for some 20 ms after a pause of an upstream, although a slot was free within a few milliseconds.

Cause: the expected wait uses an average of the latency in which each value had a weight of 0.1. Ten requests that were in flight during one pause are ten values of that pause: from 20 ms to 210 ms after 300 ms. A gateway that takes over the callers of one that stops holds 10 of 64 slots at first, so 6 of 16 callers queue, and 4 or 5 queued requests were then an expected wait above 100 ms.

Requests that are in flight together now share the weight of one value, as RFC 7323 does for round-trip times, appendix G. How soon a lasting change is learned depends on the latency and no longer on the concurrency: within 10 % after 30 latencies (TestLatencyIgnoredALastingChange, which also passed before). With many requests in flight that is later than before.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -294,9 +294,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	s.upstream.health.recordResult(result, now, now.Sub(s.acquiredAt), s.upstream.inFlight, s.probe)
 	s.upstream.inFlight--
 	s.pool.inFlight--
-	s.upstream.health.recordResult(result, now, now.Sub(s.acquiredAt), s.probe)
 	if s.upstream.inFlight >= s.upstream.slots {
 		return
 	}
@@ -304,16 +304,3 @@
 		a.dispatchQueue(p)
 	}
 }
-
-// smoothingFactor is the weight of the latest value in an exponential moving
-// average.
-const smoothingFactor = 0.1
-
-// exponentialAverage returns the average updated with value. A zero average has
-// no values yet.
-func exponentialAverage(average, value time.Duration) time.Duration {
-	if average == 0 {
-		return value
-	}
-	return average + time.Duration(smoothingFactor*float64(value-average))
-}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -145,6 +145,79 @@
 	})
 }
 
+// Guards against rejecting requests as overload after a short pause of the upstream.
+func TestPauseOfUpstreamWasTakenForOverload(t *testing.T) {
+	const (
+		slots       = 10
+		callers     = 16
+		serviceTime = 20 * time.Millisecond
+	)
+	for _, test := range []struct {
+		name  string
+		start time.Duration // of the pause
+		pause time.Duration
+	}{
+		{"no pause", time.Second, 0},
+		{"100 ms", time.Second, 100 * time.Millisecond},
+		{"300 ms", time.Second, 300 * time.Millisecond},
+		{"900 ms", time.Second, 900 * time.Millisecond},
+		{"300 ms soon after the start", 100 * time.Millisecond, 300 * time.Millisecond},
+		{"900 ms soon after the start", 200 * time.Millisecond, 900 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newAdmitter(slots)
+				pauseStart := time.Now().Add(test.start)
+				pauseEnd := pauseStart.Add(test.pause)
+				end := pauseEnd.Add(time.Second)
+				group := conc.NewWaitGroup()
+				for i := range callers {
+					group.Go(func() {
+						time.Sleep(time.Duration(i) * time.Millisecond)
+						for time.Now().Before(end) {
+							s := mustAcquire(t, a)
+							done := time.Now().Add(serviceTime)
+							if done.After(pauseStart) && done.Before(pauseEnd) {
+								done = pauseEnd
+							}
+							time.Sleep(time.Until(done))
+							s.Release(ResultOK)
+						}
+					})
+				}
+				group.Wait()
+			})
+		})
+	}
+}
+
+// Guards against an average that follows a lasting change too slowly at high concurrency.
+func TestLatencyIgnoredALastingChange(t *testing.T) {
+	for _, slots := range []int{1, 10, 64} {
+		synctest.Test(t, func(t *testing.T) {
+			a := newAdmitter(slots)
+			a.MaxQueueWait = -1
+			for _, latency := range []time.Duration{20 * time.Millisecond, 200 * time.Millisecond} {
+				start := time.Now()
+				group := conc.NewWaitGroup()
+				for range slots {
+					group.Go(func() {
+						for time.Since(start) < 30*latency {
+							s := mustAcquire(t, a)
+							time.Sleep(latency)
+							s.Release(ResultOK)
+						}
+					})
+				}
+				group.Wait()
+				if got := a.upstreams["u0"].health.latency; got < latency*9/10 || got > latency*11/10 {
+					t.Errorf("%d slots: average latency %v after 30 times %v", slots, got, latency)
+				}
+			}
+		})
+	}
+}
+
 // TestEjection checks that an upstream that fails three times in a row gets no
 // requests for a second, and then a single probe.
 func TestEjection(t *testing.T) {
--- a/internal/admitter/health.go
+++ b/internal/admitter/health.go
@@ -31,6 +31,7 @@
 // down.
 type health struct {
 	latency             time.Duration // exponential moving average
+	latencyWeight       float64       // sum of the weights of the values in latency
 	consecutiveFailures int
 	ejectedUntil        time.Time     // end of the ejection
 	ejectionDuration    time.Duration // length of the current or most recent ejection
@@ -48,17 +49,17 @@
 	return h.consecutiveFailures >= ejectAfterFailures && !h.probing && !now.Before(h.ejectedUntil)
 }
 
-// recordResult records the result of a request that held a slot for latency,
-// and ejects the upstream after consecutive failures, for twice as long each
-// time.
-func (h *health) recordResult(result Result, now time.Time, latency time.Duration, probe bool) {
+// recordResult records the result of a request that held a slot for latency and
+// was one of inFlight, and ejects the upstream after consecutive failures, for
+// twice as long each time.
+func (h *health) recordResult(result Result, now time.Time, latency time.Duration, inFlight int, probe bool) {
 	if probe {
 		h.probing = false
 	}
 	switch result {
 	case ResultOK:
 		h.consecutiveFailures, h.ejectionDuration = 0, 0
-		h.latency = exponentialAverage(h.latency, latency)
+		h.recordLatency(latency, inFlight)
 	case ResultFailed:
 		h.consecutiveFailures++
 		if h.consecutiveFailures >= ejectAfterFailures && !now.Before(h.ejectedUntil) {
@@ -68,3 +69,17 @@
 	case ResultNone:
 	}
 }
+
+// smoothingFactor is the weight in the average latency of the values that are
+// measured during one latency.
+const smoothingFactor = 0.1
+
+// recordLatency updates the average. Requests that are in flight together measure
+// the same pause of the upstream, so they share the weight of one (RFC 7323,
+// appendix G). The first values are averaged with these weights alone.
+func (h *health) recordLatency(latency time.Duration, inFlight int) {
+	share := 1 / float64(max(1, inFlight))
+	h.latencyWeight += share
+	share *= max(smoothingFactor, 1/h.latencyWeight)
+	h.latency += time.Duration(share * float64(latency-h.latency))
+}
