Admitter: a gateway serves its queue after it was paused

The refused callers come back at the same moment and are refused for "the pool is overloaded".

Cause: one timer measured the wait of a queued request. After a pause it fires before the responses that have arrived meanwhile release their slots.

That the gateway stood still in the failure that was seen is suspected, not shown.

The wait is now counted in ten steps, and a pause delays one step, however long it is. A pause that begins in the last step still ends the wait. The request's deadline is not affected.

--- a/cmd/carobrock/drain_test.go
+++ b/cmd/carobrock/drain_test.go
@@ -33,13 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	control := &process{args: []string{
-		"control", "--name", "c1", "--listen", addresses[0], "--operations", addresses[1], "--dataDir", t.TempDir(),
-		"--members", "c1=" + addresses[0], "--electionTimeout", "150ms",
-	}}
-	worker := &process{args: []string{
-		"worker", "--name", "w1", "--pool", "logbook", "--serviceTime", "20ms", "--slots", "64", "--announce", addresses[1],
-	}}
+	control, worker := newLogbookProcesses(t, addresses, "64")
 	gateways := make([]*process, 2)
 	for i := range gateways {
 		gateways[i] = &process{args: []string{
@@ -83,6 +77,68 @@
 	}
 }
 
+// Guards against a gateway that rejects its queue after it was paused.
+func TestPausedGatewayRejectedItsQueue(t *testing.T) {
+	const (
+		rounds  = 5
+		callers = 8
+		pause   = 1200 * time.Millisecond // above the default of --maxQueueWait
+	)
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	control, worker := newLogbookProcesses(t, addresses, "4")
+	gateway := &process{args: []string{
+		"gateway", "--name", "g0", "--listen", addresses[2], "--operations", addresses[3],
+		"--replicas", addresses[0], "--maxExpectedWait", "1m",
+	}}
+	for _, p := range []*process{control, worker, gateway} {
+		p.start(t)
+		defer p.kill()
+	}
+	putLogbookTables(t, addresses[1])
+	b := &balancer{targets: addresses[2:3]}
+	b.waitReady(t, 0)
+	b.waitUpstream(t, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	group := conc.NewWaitGroup()
+	var answered atomic.Int64
+	for range callers {
+		group.Go(func() { b.sendRequests(ctx, t, &answered) })
+	}
+	for range rounds {
+		time.Sleep(300 * time.Millisecond)
+		if err := gateway.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(pause)
+		if err := gateway.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	cancel()
+	group.Wait()
+	if answered.Load() < 100 {
+		t.Errorf("only %d requests were answered", answered.Load())
+	}
+}
+
+// newLogbookProcesses returns a control replica, which listens on the first two
+// addresses, and a worker of the pool logbook.
+func newLogbookProcesses(t *testing.T, addresses []string, slots string) (control, worker *process) {
+	t.Helper()
+	control = &process{args: []string{
+		"control", "--name", "c1", "--listen", addresses[0], "--operations", addresses[1], "--dataDir", t.TempDir(),
+		"--members", "c1=" + addresses[0], "--electionTimeout", "150ms",
+	}}
+	worker = &process{args: []string{
+		"worker", "--name", "w1", "--pool", "logbook", "--serviceTime", "20ms", "--slots", slots, "--announce", addresses[1],
+	}}
+	return control, worker
+}
+
 // putLogbookTables creates the pool logbook and a route that sends every path to
 // it.
 func putLogbookTables(t *testing.T, address string) {
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -38,8 +39,9 @@
 	// 100 ms; a negative value means no bound.
 	MaxExpectedWait time.Duration
 	// MaxQueueWait bounds the actual wait of a request, which can exceed the
-	// expected wait while slots are reassigned to other gateways. Zero means
-	// 1 s; a negative value means that only the request's deadline applies.
+	// expected wait while slots are reassigned to other gateways. Pauses of this
+	// process hardly count. Zero means 1 s; a negative value means that only the
+	// request's deadline applies.
 	MaxQueueWait time.Duration
 	// Rand is used to choose among upstreams. Nil means a randomly seeded
 	// generator. It is only used while the Admitter's lock is held.
@@ -96,6 +98,9 @@
 	defaultMaxQueue        = 1024
 	defaultMaxExpectedWait = 100 * time.Millisecond
 	defaultMaxQueueWait    = time.Second
+	// queueWaitSteps is the number of steps in which MaxQueueWait is counted. A
+	// pause of this process delays one step, however long it is.
+	queueWaitSteps = 10
 )
 
 // ApplyCatalog applies a new catalog and assigns free slots to queued requests.
@@ -170,20 +175,31 @@
 	if slot != nil || err != nil {
 		return slot, err
 	}
+	var steps <-chan time.Time // nil if only ctx limits the wait
 	if wait := a.maxQueueWait(); wait > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait)
-		defer cancel()
+		ticker := time.NewTicker(max(1, wait/queueWaitSteps))
+		defer ticker.Stop()
+		steps = ticker.C
 	}
-	select {
-	case slot := <-w.slot:
-		if slot == nil {
-			return nil, ErrTooLate
+	for step := 0; step < queueWaitSteps; {
+		select {
+		case slot := <-w.slot:
+			if slot == nil {
+				return nil, ErrTooLate
+			}
+			return slot, nil
+		case <-ctx.Done():
+			a.cancelWait(p, w)
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return nil, ErrTooLate
+			}
+			return nil, ctx.Err()
+		case <-steps:
+			step++
 		}
-		return slot, nil
-	case <-ctx.Done():
-		return nil, a.cancelWait(ctx, p, w)
 	}
+	a.cancelWait(p, w)
+	return nil, ErrTooLate
 }
 
 // acquireOrEnqueue takes a free slot, or adds the request to the queue and
@@ -236,7 +252,7 @@
 
 // cancelWait removes w from the queue. A slot that was assigned in the meantime
 // is released unused.
-func (a *Admitter) cancelWait(ctx context.Context, p *pool, w *waiter) error {
+func (a *Admitter) cancelWait(p *pool, w *waiter) {
 	a.mu.Lock()
 	for e := p.queue.Front(); e != nil; e = e.Next() {
 		if e.Value == w {
@@ -252,10 +268,6 @@
 		}
 	default:
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return ErrTooLate
-	}
-	return ctx.Err()
 }
 
 // takeSlot marks a slot of u as used. The caller holds a.mu.
