Gateway: a drained gateway waits until its slots are free for others

After a planned stop the slots that the gateway had last would be out of use for some 17 s, and its next start would not be ready for as long. That this also leads to refusals is suspected.

Cause: at the end of the drain a gateway waited only until it had read a grant of zero slots. It could exit before it had confirmed that grant, and the leader then kept the slots for it until the grant expired.

TestSlotsWereHeldAfterTheirRelease failed: lowered, not confirmed: HoldsSlots = false, want true

The gateway now waits, at most for the 4 s as before, until the leader no longer holds the slots for it.

--- a/internal/watcher/catalog.go
+++ b/internal/watcher/catalog.go
@@ -45,6 +45,9 @@
 	// Slots is the maximum number of requests that this gateway may have in
 	// flight at the endpoint.
 	Slots int
+	// HeldSlots is the number of slots that the leader does not grant to others yet,
+	// because this gateway has not confirmed the present grant.
+	HeldSlots int
 	// TargetSlots is the target number of slots of this gateway. The gateway reaches
 	// it as other gateways release slots.
 	TargetSlots int
@@ -129,7 +132,7 @@
 	zone, known := m.zones[w.AvailabilityZone]
 	u := &Upstream{
 		Address: s.Address, Worker: w.Name, VM: w.VM, AvailabilityZone: w.AvailabilityZone,
-		Slots: g.Slots, TargetSlots: g.TargetSlots, Connections: g.Connections,
+		Slots: g.Slots, HeldSlots: g.HeldSlots, TargetSlots: g.TargetSlots, Connections: g.Connections,
 		Usable: !w.Leaving && !m.downVMs[w.VM] && (!known || zone.IsUsable()),
 	}
 	c.Upstreams[s.Address] = u
@@ -139,10 +142,11 @@
 	}
 }
 
-// HoldsSlots reports whether this gateway is granted any slots.
+// HoldsSlots reports whether this gateway is granted any slots, or the leader does
+// not grant them to others yet.
 func (c *Catalog) HoldsSlots() bool {
 	for _, u := range c.Upstreams {
-		if u.Slots > 0 {
+		if u.Slots > 0 || u.HeldSlots > 0 {
 			return true
 		}
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -204,3 +204,26 @@
 		}
 	})
 }
+
+// Guards against a gateway that exits before the leader knows that its slots are free.
+func TestSlotsWereHeldAfterTheirRelease(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		grant carobrock.Grant
+		want  bool
+	}{
+		{"granted", carobrock.Grant{Slots: 4, HeldSlots: 4}, true},
+		{"lowered, not confirmed", carobrock.Grant{HeldSlots: 4}, true},
+		{"confirmed", carobrock.Grant{}, false},
+	} {
+		m := newViewState()
+		test.grant.Upstream = "u"
+		m.applyDelta(&carobrock.View{
+			Workers: []carobrock.Worker{{Name: "w", Services: []carobrock.Service{{Pool: "p", Address: "u", Slots: 4}}}},
+			Grants:  &carobrock.GrantTable{Version: 1, Rows: []carobrock.Grant{test.grant}},
+		}, 1, true)
+		if got := m.buildCatalog().HoldsSlots(); got != test.want {
+			t.Errorf("%s: HoldsSlots = %t, want %t", test.name, got, test.want)
+		}
+	}
+}
