Revert "Allocator: reserve capacity for services that wait"

A failed try.

At any moment some worker has room that the leader does not know of yet; heartbeats come every 450 to 670 ms then, as the leader is busy. So the time from the end of a task to the start of the next one is suspected, not the short tasks.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -30,9 +30,6 @@
 			break
 		}
 		if isKnownUnplaceable(unplaceable, &requests[i]) {
-			if mayReserve(&requests[i]) {
-				reserveForServices(&requests[i], len(requests[i].Indices), workers)
-			}
 			continue
 		}
 		if requests[i].IsIsolated {
@@ -47,13 +44,8 @@
 			continue
 		}
 		placed := a.placeIndividually(&requests[i], workers, limit-len(out))
-		if unplaced := len(requests[i].Indices) - len(placed); unplaced > 0 && len(out)+len(placed) < limit {
-			if isUnconstrained(&requests[i]) {
-				unplaceable[classOf(&requests[i])] = &requests[i]
-			}
-			if mayReserve(&requests[i]) {
-				reserveForServices(&requests[i], unplaced, workers)
-			}
+		if len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit && isUnconstrained(&requests[i]) {
+			unplaceable[classOf(&requests[i])] = &requests[i]
 		}
 		out = append(out, placed...)
 	}
@@ -81,9 +73,6 @@
 	return r.Step.Label == "" && r.Step.MaxPerWorker == 0 && !r.NeedsTicket && len(r.Avoid) == 0
 }
 
-// mayReserve reports whether capacity is reserved for tasks of r that do not fit.
-func mayReserve(r *Request) bool { return r.Step.Service && !r.Step.Gang }
-
 // isKnownUnplaceable reports whether an earlier request of this call found too few
 // workers and is no harder to place than r, so that r would not find one either.
 // unplaceable holds the last of these requests of each class.
@@ -201,9 +190,6 @@
 // and the services of w.
 func (a *Allocator) assignTask(r *Request, i int, w *Worker) carobrock.TaskAssignment {
 	w.Free = w.Free.Sub(r.Step.Committed())
-	if !r.Step.Service {
-		w.Transient = w.Transient.Add(r.Step.Committed())
-	}
 	w.SpareMilliCPU -= r.Step.Size.MilliCPU
 	w.RunCount++
 	w.RecentCount++
@@ -217,9 +203,6 @@
 // unassignTask undoes assignTask.
 func (a *Allocator) unassignTask(r *Request, w *Worker) {
 	w.Free = w.Free.Add(r.Step.Committed())
-	if !r.Step.Service {
-		w.Transient = w.Transient.Sub(r.Step.Committed())
-	}
 	w.SpareMilliCPU += r.Step.Size.MilliCPU
 	w.RunCount--
 	w.RecentCount--
@@ -232,14 +215,8 @@
 // Fits reports whether w has the capacity for a task of r and meets the
 // constraints of r. It does not consider interference.
 func Fits(r *Request, w *Worker) bool {
-	return r.Step.Committed().Fits(available(r, w)) && isEligible(r, w)
-}
-
-// isEligible reports whether w meets the constraints of r, whatever its free
-// capacity.
-func isEligible(r *Request, w *Worker) bool {
 	switch {
-	case w.Pool != r.Pool, w.IsIsolated:
+	case w.Pool != r.Pool, w.IsIsolated, !r.Step.Committed().Fits(w.Free):
 		return false
 	case r.Step.Label != "" && !slices.Contains(w.Labels, r.Step.Label):
 		return false
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -5,8 +5,8 @@
 	"github.com/carobrock/carobrock/internal/pacer"
 )
 
-// Worker describes a worker to the allocator. Place updates Free, Transient,
-// Reserved, Reservations, SpareMilliCPU, RunCount, RecentCount, IsIsolated, Services and
+// Worker describes a worker to the allocator. Place updates Free,
+// SpareMilliCPU, RunCount, RecentCount, IsIsolated, Services and
 // ServicesByImage as it assigns tasks.
 type Worker struct {
 	// Incarnation identifies the worker process.
@@ -21,12 +21,6 @@
 	// committed.
 	Capacity carobrock.Capacity
 	Free     carobrock.Capacity
-	// Transient is the part of the commitments that will be free when the tasks end
-	// that are not services. Reserved is what Place keeps for a number of waiting
-	// services, Reservations; it may exceed Free.
-	Transient    carobrock.Capacity
-	Reserved     carobrock.Capacity
-	Reservations int
 	// SpareMilliCPU is the CPU capacity, in thousandths of a core, that non-filler
 	// tasks are expected to leave idle, less the requests of fillers. It may be
 	// negative.
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -97,7 +97,6 @@
 		w.subtractUnrecordedRuns(v.candidate)
 	}
 	v.candidate.HasPendingResponse = w.pendingResponse != nil
-	v.candidate.Reserved, v.candidate.Reservations = carobrock.Capacity{}, 0
 	return v.candidate
 }
 
@@ -147,8 +146,6 @@
 		v.SpareMilliCPU -= expectedUse(step)
 		if step.Service {
 			v.ServicesByImage[step.Image]++
-		} else {
-			v.Transient = v.Transient.Add(step.Committed())
 		}
 		if !step.Filler {
 			continue
