--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -97,9 +97,6 @@
 // splitRequest replaces a request by one without suspects and one for each suspect
 // that may start. A gang with a suspect is a suspect as a whole.
 func (q *suspectQueue) splitRequest(r *allocator.Request) []allocator.Request {
-	if len(q.state.Suspects) == 0 {
-		return []allocator.Request{*r}
-	}
 	if r.Step.Gang {
 		mode := startNormally
 		for i := range r.Indices {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -129,6 +129,7 @@
 		}
 		if isFull {
 			d.lastFullRound = now
+			d.forgetSilentWorkers(s, now)
 			d.fillersWait = hasUnplacedFillers(requests, c.Assign)
 			d.rhythm.adjust()
 			d.logLoad(s, now)
@@ -175,15 +176,8 @@
 }
 
 // findLostWorkers adds the losses of the worker incarnations with runs whose
-// leases have all expired, and forgets those without runs.
+// leases have all expired.
 func (d *Dispatcher) findLostWorkers(s *bookkeeper.State, now time.Time) {
-	for _, w := range d.workers {
-		rec := s.Workers[w.report.WorkerIncarnation]
-		if now.After(w.leaseExpiry) && (rec == nil || len(rec.Runs) == 0) && !d.isBeingLost(w.report.WorkerIncarnation) {
-			d.Logger.Info().Str("worker", w.report.Name).Dur("silent", now.Sub(w.receivedAt)).Msg("dispatcher: worker without runs is silent; it is forgotten until it is heard of again")
-			d.removeWorker(w)
-		}
-	}
 	for incarnation, rec := range s.Workers {
 		if len(rec.Runs) == 0 || d.isBeingLost(incarnation) {
 			continue
@@ -204,6 +198,19 @@
 	}
 }
 
+// forgetSilentWorkers forgets the workers without runs whose leases have expired.
+func (d *Dispatcher) forgetSilentWorkers(s *bookkeeper.State, now time.Time) {
+	for _, w := range d.workers {
+		if !now.After(w.leaseExpiry) || d.isBeingLost(w.report.WorkerIncarnation) {
+			continue
+		}
+		if rec := s.Workers[w.report.WorkerIncarnation]; rec == nil || len(rec.Runs) == 0 {
+			d.Logger.Info().Str("worker", w.report.Name).Dur("silent", now.Sub(w.receivedAt)).Msg("dispatcher: worker without runs is silent; it is forgotten until it is heard of again")
+			d.removeWorker(w)
+		}
+	}
+}
+
 // withdrawUnstartedRuns adds to c the runs that have certainly not reached
 // their worker and that the worker cannot or need not start any more. An earlier
 // leader may have sent a run in its response to a later heartbeat than the one that
@@ -245,18 +252,26 @@
 // slowly, and new jobs must not overtake those that wait.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
 	var ranked []rankedRequest
+	endingJobs := map[string]bool{}
+	for task := range ending {
+		endingJobs[task.Job] = true
+	}
 	suspects := d.newSuspectQueue(s, now)
 	nowMillis := d.Now().UnixMilli()
 	for _, j := range s.Open {
 		if j.Queue.Pool == "" {
 			continue
 		}
+		endingTasks := ending
+		if !endingJobs[j.Spec.ID] {
+			endingTasks = nil
+		}
 		for k, o := range j.Occurrences {
 			if j.Spec.DueUnixMillis(k) > nowMillis {
 				break
 			}
 			for i := range j.Spec.Steps {
-				if r, ok := newRequest(j, o, k, i, ending); ok {
+				if r, ok := newRequest(j, o, k, i, endingTasks); ok {
 					if r.Step.Filler && !includeAll && d.fillersWait {
 						continue
 					}
@@ -264,8 +279,13 @@
 					if j.Queue.Policy != nil {
 						d.fillTickets(&r, j.Queue.Policy, candidates, now)
 					}
+					urgency := ranker.UrgencyOf(j, o, k, i, nowMillis)
+					if len(s.Suspects) == 0 {
+						ranked = append(ranked, rankedRequest{r, urgency})
+						continue
+					}
 					for _, part := range suspects.splitRequest(&r) {
-						ranked = append(ranked, rankedRequest{part, ranker.UrgencyOf(j, o, k, i, nowMillis)})
+						ranked = append(ranked, rankedRequest{part, urgency})
 					}
 				}
 			}
