Dispatcher: a worker that returns is not forgotten while it gets a task

It went by the lease, which a response extends. A worker whose first heartbeat after the silence waited for its response could be given a task and be forgotten in one round. The response still told it to start the run; the leader found a run on a worker that it did not know, gave it up at once and started the task elsewhere.

A worker is now forgotten a lease after its last heartbeat, and a worker that was removed from the table gets no orders in the response to an earlier heartbeat.

--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -182,13 +182,13 @@
 }
 
 // buildResponse returns the orders for a worker and extends its lease. The orders
-// are empty if a newer heartbeat has arrived, the loss of the worker is being
-// committed or the next leader would not know the length of its lease. It fails with a *locator.NotLeaderError if this replica is no longer
+// are empty if a newer heartbeat has arrived, the worker was removed from the table,
+// its loss is being committed or the next leader would not know the length of its lease. It fails with a *locator.NotLeaderError if this replica is no longer
 // the leader.
 func (d *Dispatcher) buildResponse(w *worker, r *carobrock.WorkerReport, received time.Time) (*carobrock.HeartbeatResponse, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if w.report != r || d.isBeingLost(r.WorkerIncarnation) || !d.isLeaseRecorded() {
+	if w.report != r || d.workers[r.Name] != w || d.isBeingLost(r.WorkerIncarnation) || !d.isLeaseRecorded() {
 		return &carobrock.HeartbeatResponse{RetryMillis: d.rhythm.retryMillis()}, nil
 	}
 	response := &carobrock.HeartbeatResponse{
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -198,10 +198,12 @@
 	}
 }
 
-// forgetSilentWorkers forgets the workers without runs whose leases have expired.
+// forgetSilentWorkers forgets the workers without runs that sent no heartbeat for as
+// long as a lease. A shorter silence may have ended with a heartbeat that is waiting
+// for its response, and for which this round assigns a task.
 func (d *Dispatcher) forgetSilentWorkers(s *bookkeeper.State, now time.Time) {
 	for _, w := range d.workers {
-		if !now.After(w.leaseExpiry) || d.isBeingLost(w.report.WorkerIncarnation) {
+		if !now.After(latestLeaseExpiry(w.receivedAt, d.Settings.Lease)) || d.isBeingLost(w.report.WorkerIncarnation) {
 			continue
 		}
 		if rec := s.Workers[w.report.WorkerIncarnation]; rec == nil || len(rec.Runs) == 0 {
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -182,6 +183,40 @@
 	}
 }
 
+// Guards against forgetting a worker while it gets a task: it had sent a heartbeat
+// after a long silence, was told to start the task, and the task was started
+// elsewhere too.
+func TestWorkerThatReturnsIsNotForgottenWhileItGetsATask(t *testing.T) {
+	for i := range 15 * 25 {
+		offset, delay := time.Duration(i/25-2)*10*time.Millisecond, time.Duration(i%25)*5*time.Millisecond
+		t.Run(fmt.Sprint(offset, " ", delay), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				defer h.stop()
+				a, b := h.newWorker("a", 4), h.newWorker("b", 4)
+				h.must(a.sendHeartbeat())
+				time.Sleep(700 * time.Millisecond) // a is silent
+				h.submitJob("job", oneCoreStep(1))
+				time.Sleep(leaseWithMargins - 700*time.Millisecond + offset)
+				// The heartbeat waits for the commit of an end while the task is assigned.
+				a.report.Ends = []carobrock.RunEnd{{Number: 1, Task: carobrock.TaskRef{Job: "gone"}, Attempt: 1, Kind: carobrock.EndStopped}}
+				h.log.delayNextCommit(delay)
+				calls := conc.NewWaitGroup()
+				calls.Go(func() { h.must(a.sendHeartbeat()) })
+				time.Sleep(5 * time.Millisecond)
+				started := h.sendHeartbeats(10, b)
+				calls.Wait()
+				for _, run := range a.runNames() {
+					started[run] = true
+				}
+				if len(started) != 1 {
+					t.Errorf("runs %v started, want one, as no run failed", started)
+				}
+			})
+		})
+	}
+}
+
 // A response that was held when the leader lost its leadership carries no orders.
 func TestHeldResponseAfterLossOfLeadershipCarriesNoOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
