--- a/internal/bookkeeper/crashes.go
+++ b/internal/bookkeeper/crashes.go
@@ -1,7 +1,6 @@
 package bookkeeper
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/carobrock/carobrock"
@@ -40,8 +39,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b LostRun) int {
-		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
-			cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
+		return carobrock.Run{Task: a.Task, Attempt: a.Attempt}.Compare(carobrock.Run{Task: b.Task, Attempt: b.Attempt})
 	})
 	return out
 }
--- a/internal/dispatcher/capacity.go
+++ b/internal/dispatcher/capacity.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/carobrock/carobrock"
@@ -39,7 +38,7 @@
 		return nil
 	}
 	free := w.view.free
-	slices.SortFunc(active, compareRuns)
+	slices.SortFunc(active, carobrock.Run.Compare)
 	excess := map[carobrock.Run]bool{}
 	for _, run := range active {
 		committed := rec.Runs[run].Committed()
@@ -52,12 +51,6 @@
 	return excess
 }
 
-// compareRuns orders runs by job, position in the job and attempt.
-func compareRuns(a, b carobrock.Run) int {
-	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
-		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
-}
-
 // logCapacityChange logs if the reported capacity of the worker differs from that in
 // the previous heartbeat, nil if there is none.
 func (d *Dispatcher) logCapacityChange(s *bookkeeper.State, w *worker, previous *carobrock.WorkerReport) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -111,11 +111,11 @@
 	// lastFullRound is when a placement round last considered all waiting tasks,
 	// fillersWait is set if it left over fillers.
 	lastFullRound time.Time
+	fillersWait   bool
 	// suspectsSince is when each waiting suspect was first found waiting.
 	suspectsSince map[carobrock.TaskRef]time.Time
 	// recentLosses holds the losses of the last outageTime.
 	recentLosses []zoneLoss
-	fillersWait  bool
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
 	// ID.
 	jobLoadEstimates map[string]map[*loadEstimate]bool
--- a/internal/dispatcher/evict.go
+++ b/internal/dispatcher/evict.go
@@ -75,7 +75,7 @@
 	ordered := slices.Clone(runs)
 	slices.SortFunc(ordered, func(a, b evictable) int {
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.lostWork(), b.lostWork()),
-			cmp.Compare(b.relief(shortage), a.relief(shortage)), compareRuns(a.run, b.run))
+			cmp.Compare(b.relief(shortage), a.relief(shortage)), a.run.Compare(b.run))
 	})
 	var chosen []evictable
 	evicted := map[carobrock.TaskRef]int{}
--- a/job.go
+++ b/job.go
@@ -1,5 +1,7 @@
 package carobrock
 
+import "cmp"
+
 // JobSpec describes a submitted job: steps of tasks with dependencies between
 // the steps, run once or at regular times.
 type JobSpec struct {
@@ -173,6 +175,13 @@
 	Attempt uint64
 }
 
+// Compare orders runs by job, position in the job and attempt. It returns a
+// negative number if r comes before o, and a positive one if it comes after.
+func (r Run) Compare(o Run) int {
+	return cmp.Or(cmp.Compare(r.Task.Job, o.Task.Job), cmp.Compare(r.Task.Occurrence, o.Task.Occurrence),
+		cmp.Compare(r.Task.Step, o.Task.Step), cmp.Compare(r.Task.Index, o.Task.Index), cmp.Compare(r.Attempt, o.Attempt))
+}
+
 // RunReport is a worker's report of a run in progress.
 type RunReport struct {
 	Run
