--- /dev/null
+++ b/review/_standin/scenarios.go
@@ -0,0 +1,6 @@
+package main
+
+// scenarios holds the cases by the names that their scripts use.
+var scenarios = map[string]scenario{
+	"foreignService": {play: playForeignService},
+}
