--- a/review/_standin/scenarios.go
+++ b/review/_standin/scenarios.go
@@ -3,4 +3,5 @@
 // scenarios holds the cases by the names that their scripts use.
 var scenarios = map[string]scenario{
 	"foreignService": {play: playForeignService},
+	"largeJob":       {play: playLargeJob},
 }
