--- a/review/_standin/scenarios.go
+++ b/review/_standin/scenarios.go
@@ -5,4 +5,5 @@
 	"foreignService":   {play: playForeignService},
 	"largeJob":         {play: playLargeJob},
 	"garbledHeartbeat": {play: playGarbledHeartbeat},
+	"starvedFiller":    {play: playStarvedFiller},
 }
