--- a/review/_standin/scenarios.go
+++ b/review/_standin/scenarios.go
@@ -6,4 +6,5 @@
 	"largeJob":         {play: playLargeJob},
 	"garbledHeartbeat": {play: playGarbledHeartbeat},
 	"starvedFiller":    {play: playStarvedFiller},
+	"lateOrder":        {play: playLateOrder},
 }
