Log why a command had no effect, and which process carried out a zone order

When no replica can decode a committed command, the leader logged only that a placement command failed or that its outcome is unknown. It now logs the error of the state machine and which parts the command had. The outcome is known: nothing took effect, so the error is ErrNotApplied.

When an availability zone is taken out or returned, nothing was logged.

--- a/internal/dispatcher/batcher.go
+++ b/internal/dispatcher/batcher.go
@@ -139,7 +139,7 @@
 
 // proposeCommand commits a command and returns its result. It fails with a
 // *locator.NotLeaderError if this replica is not the leader in the term, with
-// carobrock.ErrNotApplied if the command cannot be encoded, and with
+// carobrock.ErrNotApplied if the command cannot be encoded or decoded, and with
 // carobrock.ErrOutcomeUnknown if it is unknown whether the command was committed.
 func (d *Dispatcher) proposeCommand(ctx context.Context, term uint64, c *carobrock.JobCommand) (*carobrock.JobResult, error) {
 	c.AtUnixMillis = d.Now().UnixMilli()
@@ -159,9 +159,15 @@
 	case err != nil:
 		return nil, eris.Wrap(carobrock.ErrOutcomeUnknown, err.Error())
 	}
-	res, ok := value.(*carobrock.JobResult)
-	if !ok {
-		return nil, eris.Wrap(carobrock.ErrOutcomeUnknown, "the state machine returned no job result; the command may not be decodable")
+	switch res := value.(type) {
+	case *carobrock.JobResult:
+		return res, nil
+	case error:
+		d.Logger.Error().Err(res).Int("bytes", len(data)).Int("submitted", len(c.Submit)).Int("ends", len(c.Ends)).Int("lost", len(c.Lost)).
+			Int("assignments", len(c.Assign)).Int("zones", len(c.Zones)).Int("waves", len(c.Waves)).
+			Msg("dispatcher: no replica can decode a committed command; none of its parts has taken effect")
+		return nil, eris.Wrap(carobrock.ErrNotApplied, res.Error())
+	default:
+		return nil, eris.Wrap(carobrock.ErrOutcomeUnknown, "the state machine returned no job result")
 	}
-	return res, nil
 }
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -106,6 +106,7 @@
 		c.Zones = append(c.Zones, z)
 		return 0
 	})
+	d.Logger.Info().Str("availabilityZone", z.Name).Bool("outOfService", z.OutOfService).Err(err).Msg("dispatcher: order for an availability zone handled")
 	return err
 }
 
