Refuse requests that the replicas cannot decode

Cause: nothing checked the texts of a heartbeat. The leader recorded the end of the writer's first incarnation and added it to the next placement command. Go encodes such a text; no replica decodes it, so the replicas dropped the command with all its assignments. The loss was not committed and so was part of every later command. The log line of the commit before shows it: "cannot decode job command: cbor: invalid UTF-8 string", lost 1, assignments 24, every 40 ms.

The same happened to any other part of a command: one garbled task of a reported end, payload, zone or wave failed the jobs and ends of other callers in the same command, and a wave of 200,000 machines exceeds the list that a replica decodes.

Whatever becomes part of a command is now checked by the dispatcher before it is remembered: texts are UTF-8, numbers and lists are within limits that keep sums and durations within 64 bits. That holds for calls of other processes as well. A start of a worker in the far future is refused too: it ended all workers of its machine and kept out the next ones.

Ruled out: a slow or lost commit (the commands were committed and applied), a leader that had lost its lease (term and leader unchanged).

--- a/configuration.go
+++ b/configuration.go
@@ -90,10 +90,16 @@
 	pools := map[string]bool{}
 	for i := range c.Pools {
 		pools[c.Pools[i].Name] = true
+		if err := checkText(c.Pools[i].Name, c.Pools[i].HealthPath); err != nil {
+			return eris.Wrap(ErrConfiguration, err.Error())
+		}
 	}
 	keys := map[string]bool{}
 	for i := range c.Queues {
 		q := &c.Queues[i]
+		if err := checkText(q.Name, q.Host, q.PathPrefix); err != nil {
+			return eris.Wrap(ErrConfiguration, err.Error())
+		}
 		switch {
 		case q.PathPrefix == "" || q.Host == "":
 			return eris.Wrapf(ErrConfiguration, "queue %q has no host or no path prefix", q.Name)
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 )
@@ -18,6 +20,9 @@
 
 // SubmitJob implements carobrock.JobControl.
 func (d *Dispatcher) SubmitJob(ctx context.Context, spec *carobrock.JobSpec) (bool, error) {
+	if err := spec.Check(); err != nil {
+		return false, err
+	}
 	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Submit = append(c.Submit, *spec)
 		return len(c.Submit) - 1
@@ -30,6 +35,9 @@
 
 // CancelJob implements carobrock.JobControl.
 func (d *Dispatcher) CancelJob(ctx context.Context, key carobrock.JobKey) (bool, error) {
+	if err := key.Check(); err != nil {
+		return false, err
+	}
 	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Cancel = append(c.Cancel, key)
 		return len(c.Cancel) - 1
@@ -58,6 +66,9 @@
 
 // Configure implements carobrock.JobControl.
 func (d *Dispatcher) Configure(ctx context.Context, c *carobrock.Configuration) error {
+	if err := c.Check(); err != nil {
+		return eris.Wrap(carobrock.ErrRefused, err.Error())
+	}
 	_, _, err := d.commitPart(ctx, func(next *carobrock.JobCommand) int {
 		if next.Configuration == nil || c.Version > next.Configuration.Version {
 			next.Configuration = c
@@ -102,6 +113,9 @@
 
 // SetZone implements carobrock.JobControl.
 func (d *Dispatcher) SetZone(ctx context.Context, z carobrock.ZoneChange) error {
+	if err := z.Check(); err != nil {
+		return err
+	}
 	_, _, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Zones = append(c.Zones, z)
 		return 0
@@ -112,6 +126,9 @@
 
 // StartWave implements carobrock.JobControl.
 func (d *Dispatcher) StartWave(ctx context.Context, w *carobrock.MaintenanceWave) error {
+	if err := w.Check(); err != nil {
+		return err
+	}
 	_, _, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Waves = append(c.Waves, *w)
 		return 0
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/locator"
@@ -21,6 +23,9 @@
 // the orders.
 func (d *Dispatcher) Heartbeat(ctx context.Context, r *carobrock.WorkerReport) (*carobrock.HeartbeatResponse, error) {
 	received := time.Now()
+	if err := d.checkReport(r); err != nil {
+		return nil, err
+	}
 	if err := d.ensureLeader(); err != nil {
 		return nil, err
 	}
@@ -35,6 +40,21 @@
 	return d.buildResponse(w, r, received)
 }
 
+// maxClockLead is how far a worker's clock may be ahead of the leader's.
+const maxClockLead = time.Hour
+
+// checkReport fails with carobrock.ErrRefused if r is invalid. A report from the far
+// future is, as it would end all workers of its machine and keep out the next ones.
+func (d *Dispatcher) checkReport(r *carobrock.WorkerReport) error {
+	if err := r.Check(); err != nil {
+		return err
+	}
+	if r.Started > d.Now().Add(maxClockLead).UnixMilli() {
+		return eris.Wrapf(carobrock.ErrRefused, "the worker's start %d is in the future", r.Started)
+	}
+	return nil
+}
+
 // recordHeartbeat stores a heartbeat in the worker table. It returns false if a
 // newer heartbeat, a newer incarnation of the worker or the end of its incarnation
 // is already known.
--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -113,7 +113,7 @@
 // serveCall decodes body into request, runs fn and encodes its result.
 func serveCall(body []byte, request any, fn func() (any, error)) ([]byte, error) {
 	if err := cbor.Unmarshal(body, request); err != nil {
-		return nil, &messenger.RemoteError{Code: "refused", Text: err.Error()}
+		return nil, &messenger.RemoteError{Code: codeRefused, Text: err.Error()}
 	}
 	value, err := fn()
 	if err != nil {
@@ -125,7 +125,8 @@
 // encodeError converts an error of a JobControl to a RemoteError. A
 // NotLeaderError is sent as CodeNotLeader with the leader's address.
 // ErrNotApplied is sent as CodeNotLeader without an address, so that the caller
-// looks for the leader again. Any other error is sent as codeOutcomeUnknown.
+// looks for the leader again. ErrRefused is sent as codeRefused and any other error
+// as codeOutcomeUnknown.
 func encodeError(err error) error {
 	var notLeader *NotLeaderError
 	switch {
@@ -133,11 +134,23 @@
 		return &messenger.RemoteError{Code: CodeNotLeader, Text: notLeader.Leader}
 	case errors.Is(err, carobrock.ErrNotApplied):
 		return &messenger.RemoteError{Code: CodeNotLeader, Text: ""}
+	case errors.Is(err, carobrock.ErrRefused):
+		return &messenger.RemoteError{Code: codeRefused, Text: err.Error()}
 	default:
 		return &messenger.RemoteError{Code: codeOutcomeUnknown, Text: err.Error()}
 	}
 }
 
+// decodeError converts a RemoteError that encodeError returned to an error of a
+// JobControl. It returns other errors unchanged.
+func decodeError(err error) error {
+	var remote *messenger.RemoteError
+	if errors.As(err, &remote) && remote.Code == codeRefused {
+		return eris.Wrap(carobrock.ErrRefused, remote.Text)
+	}
+	return err
+}
+
 var _ carobrock.JobControl = (*Locator)(nil)
 
 func (l *Locator) callLeader(ctx context.Context, method string, request, result any) error {
@@ -147,7 +160,7 @@
 	}
 	response, err := l.Call(ctx, method, body)
 	if err != nil {
-		return err
+		return decodeError(err)
 	}
 	if err := cbor.Unmarshal(response, result); err != nil {
 		return eris.Wrap(carobrock.ErrOutcomeUnknown, err.Error())
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -22,6 +22,8 @@
 	CodeNotLeader = "notLeader"
 	// codeOutcomeUnknown is the error code of a call whose outcome is unknown.
 	codeOutcomeUnknown = "undecided"
+	// codeRefused is the error code of an invalid call.
+	codeRefused = "refused"
 	// attemptTimeout is the timeout of one attempt on one replica. It equals
 	// the default election timeout, the minimum time after which the replicas
 	// elect another leader if the leader does not respond.
