--- a/check.go
+++ b/check.go
@@ -101,8 +101,8 @@
 	if err := CheckName(fmt.Sprintf("task %q: pool", t.ID), t.Pool); err != nil {
 		return err
 	}
-	if t.Size.IsNegative() || t.RunMillis < 0 {
-		return fmt.Errorf("task %q: size and runMillis cannot be negative", t.ID)
+	if !t.Size.isWithinLimits() || !isDuration(t.RunMillis) {
+		return fmt.Errorf("task %q: size or runMillis is negative or too large", t.ID)
 	}
 	return nil
 }
@@ -121,17 +121,20 @@
 			return err
 		}
 	}
-	if w.Capacity.IsNegative() {
-		return fmt.Errorf("worker %q: capacity is negative", w.Name)
+	if !w.Capacity.isWithinLimits() {
+		return fmt.Errorf("worker %q: capacity is negative or too large", w.Name)
 	}
 	for _, s := range w.Services {
-		if s.Slots < 0 || s.Connections < 0 || s.Reserved.IsNegative() || s.Address == "" {
+		if s.Slots < 0 || s.Slots > maxSlots || s.Connections < 0 || s.Connections > maxSlots || !s.Reserved.isWithinLimits() || s.Address == "" {
 			return fmt.Errorf("worker %q: service for pool %q is not valid", w.Name, s.Pool)
 		}
 	}
 	return nil
 }
 
+// maxSlots is the largest number of slots or connections of an upstream.
+const maxSlots = 1 << 20
+
 // Allows reports whether w is in one of the pool's availability zones and
 // matches one of its worker patterns.
 func (p *Pool) Allows(w *Worker) bool {
