Carry out an order for a zone only while its operator waits for it

Cause: an order has neither a number nor a time. The operator had given it up after a second, had it acknowledged by another node and had then taken the zone out again. When the node woke it read the request, forwarded it, and the state machine applied it as the newest one.

An availability zone now has a version, which each accepted change raises. A node redirects an order without a version to itself, with the current one, and carries out only an order with a version; the state machine gives it no effect if the zone has a later version. An operator that has given an order up follows no redirect, so a version proves that the operator was waiting when it was given out, and the order was decided after all earlier ones. It does not matter where the order is held up afterwards: in a buffer, in a suspended process, on its way to the leader, by a leader that is deposed. A copy of an order that is in force is acknowledged again.

Ruled out or weighed: the election (the leader and its term did not change); refusing what is read within a second of a pause (whether the pause or the request is noticed first is a race, and bytes held up by the network are not noticed at all); a time limit on the leader's clock (a zone can be taken out again within any limit that lets orders pass).

The versions are in the replicated state.

Tests: TestSuspendedNodeCarriesOutNoGivenUpOrder (real processes) failed before: "the order that was given up is acknowledged", then 40 starts in 2 s. The random commands of TestRestoredStateMachineBehavesLikeTheOriginal now have versions too.

--- /dev/null
+++ b/cmd/carobrock/suspend_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// orderTimeout is how long an operator waits for a response before it sends the order
+// to another node.
+const orderTimeout = time.Second
+
+// openOrder sends an order for the availability zone az1 over a connection of its own
+// and does not wait for the response.
+func openOrder(t *testing.T, method, address, query string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(conn, "%s /v1/evacuate/az1%s HTTP/1.1\r\nHost: %s\r\n\r\n", method, query, address); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// readStatus returns the status of the response on conn and the query of the address
+// to which it redirects, or zero if there is no response within orderTimeout.
+func readStatus(t *testing.T, conn net.Conn) (status int, query string) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(orderTimeout))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, ""
+	}
+	_ = resp.Body.Close()
+	if location, err := resp.Location(); err == nil {
+		query = "?" + location.RawQuery
+	}
+	return resp.StatusCode, query
+}
+
+// setTestZone sends an order like an operator, which follows two redirects, until it is
+// acknowledged.
+func setTestZone(t *testing.T, method string, n *testNode) {
+	t.Helper()
+	for deadline := time.Now().Add(operationTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		query := ""
+		for range 3 {
+			conn := openOrder(t, method, n.control, query)
+			status, next := readStatus(t, conn)
+			_ = conn.Close()
+			if status == http.StatusOK {
+				return
+			}
+			if query = next; query == "" {
+				break
+			}
+		}
+	}
+	t.Fatalf("%s is not acknowledged", method)
+}
+
+// submitTestJob submits a job of one task.
+func submitTestJob(t *testing.T, n *testNode) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.callers+"/q/5c0e7a21d94b36f8", strings.NewReader(`{"spec":"s","steps":[{"count":1,"cpu":100}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("submission: status %d", resp.StatusCode)
+	}
+}
+
+// startsOf sends heartbeats of a worker in az1 for a time and returns the tasks that it
+// is told to start.
+func startsOf(t *testing.T, n *testNode, d time.Duration) (starts [][]any) {
+	t.Helper()
+	born := time.Now().UnixMilli()
+	for sequence, until := 1, time.Now().Add(d); time.Now().Before(until); sequence++ {
+		body := fmt.Sprintf(`{"service":"pool","address":"127.0.0.1:9","zone":"az1","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
+"capacity":{"cpu":4000,"mem_mb":4096,"gpu":0},"labels":["a"],"clock_ms":%d,"born":%d,"sequence":%d,"machine":"m1","running":[],"finished":[]}`, sequence, born, sequence)
+		req, err := http.NewRequest(http.MethodPut, "http://"+n.control+"/v1/instances/i-1", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		orders := struct {
+			Start [][]any `json:"start"`
+		}{}
+		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(data, &orders) != nil {
+			t.Fatalf("heartbeat: status %d, body %s, error %v", resp.StatusCode, data, err)
+		}
+		starts = append(starts, orders.Start...)
+		time.Sleep(50 * time.Millisecond)
+	}
+	return starts
+}
+
+// Guards against a node that was suspended and carries out an order that its operator
+// has given up: the return of a zone to service undid a later order to take it out.
+func TestSuspendedNodeCarriesOutNoGivenUpOrder(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		redirected bool // the node has redirected the order before it is suspended
+	}{
+		{"first request", false},
+		{"redirected request", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ports := freePorts(t, 4)
+			leader := newTestNode(t, "127.0.0.1", ports, "loss_counts: true\ndata_dir: "+t.TempDir())
+			other := newTestNode(t, "127.0.0.2", ports, "loss_counts: true\ndata_dir: "+t.TempDir())
+			for _, n := range []*testNode{leader, other} {
+				n.start(t)
+				defer n.kill()
+			}
+			putNodeConfiguration(t, leader)
+			waitForStatus(t, http.MethodGet, "http://"+other.ready+"/v1/readyz", "")
+			setTestZone(t, http.MethodPost, leader)
+			query := ""
+			if test.redirected {
+				conn := openOrder(t, http.MethodDelete, other.control, "")
+				status, next := readStatus(t, conn)
+				_ = conn.Close()
+				if status != http.StatusTemporaryRedirect {
+					t.Fatalf("status %d, want a redirect", status)
+				}
+				query = next
+			}
+			if err := other.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+				t.Fatal(err)
+			}
+			givenUp := openOrder(t, http.MethodDelete, other.control, query)
+			defer func() { _ = givenUp.Close() }()
+			time.Sleep(orderTimeout)
+			setTestZone(t, http.MethodDelete, leader)
+			setTestZone(t, http.MethodPost, leader)
+			if err := other.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+				t.Fatal(err)
+			}
+			if status, _ := readStatus(t, givenUp); status == http.StatusOK {
+				t.Error("the order that was given up is acknowledged")
+			}
+			submitTestJob(t, leader)
+			if starts := startsOf(t, leader, 2*time.Second); len(starts) > 0 {
+				t.Errorf("%d starts in a zone that is out of service, the first is %v", len(starts), starts[0])
+			}
+			setTestZone(t, http.MethodDelete, other)
+			if starts := startsOf(t, leader, 2*time.Second); len(starts) == 0 {
+				t.Error("nothing started after the zone was returned to service")
+			}
+		})
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -13,6 +13,9 @@
 	ErrRefused = eris.New("carobrock: refused")
 	// ErrNotFound reports that the requested object does not exist.
 	ErrNotFound = eris.New("carobrock: not found")
+	// ErrVersionConflict reports that the object was changed after the version on
+	// which the change is based. Nothing was changed.
+	ErrVersionConflict = eris.New("carobrock: the object has a later version")
 	// ErrNameTaken reports that another worker holds the name under an
 	// unexpired lease.
 	ErrNameTaken = eris.New("carobrock: another worker announces this name")
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -37,6 +37,9 @@
 	// LeaseMillis is the longest lease that a leader may have granted to a worker, in
 	// milliseconds, zero if it is not known.
 	LeaseMillis int64 `cbor:"7,keyasint,omitempty"`
+	// ZoneVersions holds the versions of the availability zones that operators have
+	// changed.
+	ZoneVersions map[string]uint64 `cbor:"8,keyasint,omitempty"`
 
 	// Open holds the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
@@ -118,6 +121,9 @@
 	if s.OutOfServiceZones == nil {
 		s.OutOfServiceZones = map[string]bool{}
 	}
+	if s.ZoneVersions == nil {
+		s.ZoneVersions = map[string]uint64{}
+	}
 	if s.Jobs == nil {
 		s.Jobs = map[string]*Job{}
 	}
@@ -168,7 +174,7 @@
 		s.applyConfiguration(c.Configuration)
 	}
 	for _, z := range c.Zones {
-		s.setZone(z)
+		res.Zones = append(res.Zones, s.setZone(z))
 	}
 	for i := range c.Submit {
 		res.Submitted = append(res.Submitted, s.submitJob(&c.Submit[i], c.AtUnixMillis))
@@ -234,12 +240,34 @@
 	}
 }
 
-func (s *State) setZone(z carobrock.ZoneChange) {
+// firstZoneVersion is the version of an availability zone that was never changed.
+const firstZoneVersion = 1
+
+// ZoneVersion returns the version of an availability zone.
+func (s *State) ZoneVersion(zone string) uint64 {
+	return max(firstZoneVersion, s.ZoneVersions[zone])
+}
+
+// setZone applies a change of an availability zone. A change that is based on an
+// earlier version has no effect: it was decided before the last one, and was held up
+// on its way. setZone returns false for it, unless the zone is as it requests. A
+// change makes a new version even if the zone already is as it requests, as it
+// overtakes the earlier ones.
+func (s *State) setZone(z carobrock.ZoneChange) bool {
+	if z.BaseVersion != 0 {
+		if z.BaseVersion < s.ZoneVersion(z.Name) {
+			return s.OutOfServiceZones[z.Name] == z.OutOfService
+		}
+		// A replica that was restored from a snapshot of an earlier release may have
+		// an earlier version than the one that the leader gave out.
+		s.ZoneVersions[z.Name] = z.BaseVersion + 1
+	}
 	if z.OutOfService {
 		s.OutOfServiceZones[z.Name] = true
-		return
+	} else {
+		delete(s.OutOfServiceZones, z.Name)
 	}
-	delete(s.OutOfServiceZones, z.Name)
+	return true
 }
 
 func (s *State) startWave(w *carobrock.MaintenanceWave, atMillis int64) {
--- a/internal/bookkeeper/restore_test.go
+++ b/internal/bookkeeper/restore_test.go
@@ -149,7 +149,7 @@
 func (g *commandGenerator) addOperatorChange(c *carobrock.JobCommand) {
 	switch g.IntN(4) {
 	case 0:
-		c.Zones = append(c.Zones, carobrock.ZoneChange{Name: fmt.Sprint("az", g.IntN(3)), OutOfService: g.flip(2)})
+		c.Zones = append(c.Zones, carobrock.ZoneChange{Name: fmt.Sprint("az", g.IntN(3)), OutOfService: g.flip(2), BaseVersion: uint64(g.nowMillis % 6)})
 	case 1:
 		c.Configuration = &carobrock.Configuration{
 			Version: int64(g.IntN(30)), Pools: []carobrock.WorkerPool{{Name: "pool"}},
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -116,14 +116,27 @@
 	if err := z.Check(); err != nil {
 		return err
 	}
-	_, _, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
+	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Zones = append(c.Zones, z)
-		return 0
+		return len(c.Zones) - 1
 	})
-	d.Logger.Info().Str("availabilityZone", z.Name).Bool("outOfService", z.OutOfService).Err(err).Msg("dispatcher: order for an availability zone handled")
+	if err == nil && !res.Zones[i] {
+		err = carobrock.ErrVersionConflict
+	}
+	d.Logger.Info().Str("availabilityZone", z.Name).Bool("outOfService", z.OutOfService).Uint64("baseVersion", z.BaseVersion).Err(err).
+		Msg("dispatcher: order for an availability zone handled")
 	return err
 }
 
+// ZoneVersion implements carobrock.JobControl.
+func (d *Dispatcher) ZoneVersion(_ context.Context, zone string) (version uint64, err error) {
+	if err := (carobrock.ZoneChange{Name: zone}).Check(); err != nil {
+		return 0, err
+	}
+	err = d.readState(func(s *bookkeeper.State) { version = s.ZoneVersion(zone) })
+	return version, err
+}
+
 // StartWave implements carobrock.JobControl.
 func (d *Dispatcher) StartWave(ctx context.Context, w *carobrock.MaintenanceWave) error {
 	if err := w.Check(); err != nil {
--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -20,6 +20,7 @@
 	methodConfigure     = "jobs/configure"
 	methodConfiguration = "jobs/configuration"
 	methodWatch         = "jobs/watch"
+	methodZoneVersion   = "jobs/zoneVersion"
 	methodZone          = "jobs/zone"
 	methodHeartbeat     = "jobs/heartbeat"
 	methodLeave         = "jobs/leave"
@@ -87,6 +88,10 @@
 			in := int64(0)
 			return serveCall(body, &in, func() (any, error) { return control.WatchConfiguration(ctx, in) })
 		},
+		methodZoneVersion: func(ctx context.Context, body []byte) ([]byte, error) {
+			in := ""
+			return serveCall(body, &in, func() (any, error) { return control.ZoneVersion(ctx, in) })
+		},
 		methodZone: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := carobrock.ZoneChange{}
 			return serveCall(body, &in, func() (any, error) { return nil, control.SetZone(ctx, in) })
@@ -125,8 +130,8 @@
 // encodeError converts an error of a JobControl to a RemoteError. A
 // NotLeaderError is sent as CodeNotLeader with the leader's address.
 // ErrNotApplied is sent as CodeNotLeader without an address, so that the caller
-// looks for the leader again. ErrRefused is sent as codeRefused and any other error
-// as codeOutcomeUnknown.
+// looks for the leader again. ErrRefused and ErrVersionConflict are sent as
+// codeRefused and codeConflict, and any other error as codeOutcomeUnknown.
 func encodeError(err error) error {
 	var notLeader *NotLeaderError
 	switch {
@@ -136,6 +141,8 @@
 		return &messenger.RemoteError{Code: CodeNotLeader, Text: ""}
 	case errors.Is(err, carobrock.ErrRefused):
 		return &messenger.RemoteError{Code: codeRefused, Text: err.Error()}
+	case errors.Is(err, carobrock.ErrVersionConflict):
+		return &messenger.RemoteError{Code: codeConflict, Text: err.Error()}
 	default:
 		return &messenger.RemoteError{Code: codeOutcomeUnknown, Text: err.Error()}
 	}
@@ -145,10 +152,17 @@
 // JobControl. It returns other errors unchanged.
 func decodeError(err error) error {
 	var remote *messenger.RemoteError
-	if errors.As(err, &remote) && remote.Code == codeRefused {
+	if !errors.As(err, &remote) {
+		return err
+	}
+	switch remote.Code {
+	case codeRefused:
 		return eris.Wrap(carobrock.ErrRefused, remote.Text)
+	case codeConflict:
+		return eris.Wrap(carobrock.ErrVersionConflict, remote.Text)
+	default:
+		return err
 	}
-	return err
 }
 
 var _ carobrock.JobControl = (*Locator)(nil)
@@ -210,6 +224,12 @@
 	return c, err
 }
 
+// ZoneVersion implements carobrock.JobControl.
+func (l *Locator) ZoneVersion(ctx context.Context, zone string) (version uint64, err error) {
+	err = l.callLeader(ctx, methodZoneVersion, zone, &version)
+	return version, err
+}
+
 // SetZone implements carobrock.JobControl.
 func (l *Locator) SetZone(ctx context.Context, z carobrock.ZoneChange) error {
 	var none any
--- a/internal/locator/localfirst.go
+++ b/internal/locator/localfirst.go
@@ -92,6 +92,15 @@
 	return c, err
 }
 
+// ZoneVersion implements carobrock.JobControl.
+func (n *LocalFirstControl) ZoneVersion(ctx context.Context, zone string) (uint64, error) {
+	version, err := n.Local.ZoneVersion(ctx, zone)
+	if n.shouldForward(err) {
+		return n.Remote.ZoneVersion(ctx, zone)
+	}
+	return version, err
+}
+
 // SetZone implements carobrock.JobControl.
 func (n *LocalFirstControl) SetZone(ctx context.Context, z carobrock.ZoneChange) error {
 	err := n.Local.SetZone(ctx, z)
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -24,6 +24,8 @@
 	codeOutcomeUnknown = "undecided"
 	// codeRefused is the error code of an invalid call.
 	codeRefused = "refused"
+	// codeConflict is the error code of a change that is based on an earlier version.
+	codeConflict = "conflict"
 	// attemptTimeout is the timeout of one attempt on one replica. It equals
 	// the default election timeout, the minimum time after which the replicas
 	// elect another leader if the leader does not respond.
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -62,6 +62,10 @@
 	Name string `cbor:"1,keyasint"`
 	// OutOfService is the new value of the operators' out-of-service flag.
 	OutOfService bool `cbor:"2,keyasint"`
+	// BaseVersion is the version of the availability zone on which the change is
+	// based. The change has no effect if a later version exists. Zero, as in commands
+	// of earlier releases, applies to any version and makes no new one.
+	BaseVersion uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // JobKey identifies a job and the queue that it must belong to.
@@ -183,6 +187,9 @@
 	// Cancelled has one element for each key of Cancel. It is false if the
 	// queue has no job with this ID.
 	Cancelled []bool
+	// Zones has one element for each change of Zones. It is false if the change had
+	// no effect because a later one was made before.
+	Zones []bool
 	// Crashes lists the runs of Lost against which a crash was counted.
 	Crashes []RunCrash
 }
--- a/jobcontrol.go
+++ b/jobcontrol.go
@@ -29,8 +29,11 @@
 	// greater than afterVersion and returns it without its Document. It returns
 	// nil if that does not happen within WatchTimeoutMillis.
 	WatchConfiguration(ctx context.Context, afterVersion int64) (*Configuration, error)
+	// ZoneVersion returns the current version of an availability zone, at least 1.
+	ZoneVersion(ctx context.Context, zone string) (uint64, error)
 	// SetZone takes an availability zone out of service or returns it to
-	// service.
+	// service. It returns ErrVersionConflict, and makes no change, if the zone was
+	// changed otherwise since the version on which the change is based.
 	SetZone(ctx context.Context, z ZoneChange) error
 	// Heartbeat processes a worker's report and returns the response to it.
 	Heartbeat(ctx context.Context, r *WorkerReport) (*HeartbeatResponse, error)
--- a/validate.go
+++ b/validate.go
@@ -116,7 +116,12 @@
 func (k JobKey) Check() error { return checkText(k.ID, k.Queue) }
 
 // Check returns an error that wraps ErrRefused if z is invalid.
-func (z ZoneChange) Check() error { return checkText(z.Name) }
+func (z ZoneChange) Check() error {
+	if z.BaseVersion > MaxCount {
+		return eris.Wrapf(ErrRefused, "version %d is out of range", z.BaseVersion)
+	}
+	return checkText(z.Name)
+}
 
 // Check returns an error that wraps ErrRefused and describes the first invalid
 // field of w, or nil if w is valid.
