Dispatcher: a late reader of the term does not put an earlier one back

Callers would see a refusal and a second empty worker table right after a leader has been elected again.

Cause: ensureLeader reads the term and then takes the mutex. A call that read the previous term and was overtaken in between put it back, as it only compared for difference. The next command was proposed in that term and refused, until another call read the term.

The harness is not at fault: the submission notices the new term before its part is collected, so the batcher cannot have taken it in the previous one. Its other calls around a change of term fail only in this way as well; nothing in the harness is changed but for a delay that the test needs.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -189,7 +189,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if term != d.term {
+	// Another call may have noticed a later term since this one read it.
+	if term > d.term {
 		d.term, d.termStart = term, time.Now()
 		for _, w := range d.workers {
 			w.releaseResponse()
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -35,6 +35,8 @@
 	// before the next proposal reaches the log.
 	extraDelay    time.Duration
 	proposalDelay time.Duration
+	// termDelay is the time that the next reader of the term takes to receive it.
+	termDelay time.Duration
 }
 
 func (g *fakeLog) Propose(ctx context.Context, term uint64, command []byte) (any, error) {
@@ -85,10 +87,20 @@
 	g.proposalDelay = d
 }
 
-func (g *fakeLog) Term() (uint64, bool) {
+// delayNextTerm delays the next reader of the term by d after it has read it.
+func (g *fakeLog) delayNextTerm(d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.term, g.isLeader
+	g.termDelay = d
+}
+
+func (g *fakeLog) Term() (uint64, bool) {
+	g.mu.Lock()
+	term, isLeader, delay := g.term, g.isLeader, g.termDelay
+	g.termDelay = 0
+	g.mu.Unlock()
+	time.Sleep(delay)
+	return term, isLeader
 }
 
 func (g *fakeLog) LeaderAddress() string { return "" }
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -354,3 +354,25 @@
 		})
 	}
 }
+
+// Guards against a call that read the previous term and puts it back after another
+// call has noticed the new one: the next command was proposed in the previous term
+// and refused, and the worker table was lost once more.
+func TestLateReaderOfTheTermDoesNotPutItBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		worker := h.newWorker("a", 4)
+		time.Sleep(50*time.Millisecond + time.Microsecond) // no placement round begins at this time
+		calls := conc.NewWaitGroup()
+		defer calls.Wait()
+		calls.Go(func() { h.cancelJob("none") }) // the next command waits for this commit
+		time.Sleep(3 * time.Millisecond)
+		h.log.delayNextTerm(10 * time.Millisecond) // the reader goes on 2 ms before the end of the commit
+		late := worker.nextReport()
+		calls.Go(func() { _, _ = h.d.Heartbeat(context.Background(), late) }) // may fail in the new term
+		time.Sleep(time.Millisecond)
+		h.log.setTerm(2)
+		h.submitJob("job", oneCoreStep(1))
+	})
+}
