A job cancelled before its submission arrives never runs

Callers saw a job run that they had cancelled: a node that was suspended held the submission, the caller gave up after a second, cancelled the job at another node and was told with 410 that there is no such job, and the node submitted it when it woke.

What a suspended process holds is carried out however old it is, and a cancellation of an unknown job left no trace.

Such a cancellation is now part of the replicated state, for as long as ended jobs are kept. A submission that arrives later is stored as a cancelled job. Until then the job remains unknown. It holds as well for a submission that the network holds up.

Weighed: refusing submissions for a while after a pause. It would refuse new ones as well, and does not see what the network holds up.

--- a/cmd/carobrock/suspend_test.go
+++ b/cmd/carobrock/suspend_test.go
@@ -68,10 +68,16 @@
 	t.Fatalf("%s is not acknowledged", method)
 }
 
-// submitTestJob submits a job of one task.
-func submitTestJob(t *testing.T, n *testNode) {
+// testJob is a job of one task, testJobPath its path.
+const (
+	testJob     = `{"spec":"s","steps":[{"count":1,"cpu":100}]}`
+	testJobPath = "/q/5c0e7a21d94b36f8"
+)
+
+// requestTestJob sends a request on testJob and returns the status of the response.
+func requestTestJob(t *testing.T, method string, n *testNode, body string) int {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.callers+"/q/5c0e7a21d94b36f8", strings.NewReader(`{"spec":"s","steps":[{"count":1,"cpu":100}]}`))
+	req, err := http.NewRequest(method, "http://"+n.callers+testJobPath, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -81,9 +87,7 @@
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		t.Fatalf("submission: status %d", resp.StatusCode)
-	}
+	return resp.StatusCode
 }
 
 // startsOf sends heartbeats of a worker in az1 for a time and returns the tasks that it
@@ -161,7 +165,9 @@
 			if status, _ := readStatus(t, givenUp); status == http.StatusOK {
 				t.Error("the order that was given up is acknowledged")
 			}
-			submitTestJob(t, leader)
+			if status := requestTestJob(t, http.MethodPost, leader, testJob); status != http.StatusOK {
+				t.Fatalf("submission: status %d", status)
+			}
 			if starts := startsOf(t, leader, 2*time.Second); len(starts) > 0 {
 				t.Errorf("%d starts in a zone that is out of service, the first is %v", len(starts), starts[0])
 			}
@@ -172,3 +178,39 @@
 		})
 	}
 }
+
+// Guards against a node that was suspended and submits a job that its caller has
+// cancelled meanwhile.
+func TestSuspendedNodeSubmitsNoCancelledJob(t *testing.T) {
+	ports := freePorts(t, 4)
+	leader := newTestNode(t, "127.0.0.1", ports, "loss_counts: true\ndata_dir: "+t.TempDir())
+	relay := newTestNode(t, "127.0.0.2", ports, "")
+	for _, n := range []*testNode{leader, relay} {
+		n.start(t)
+		defer n.kill()
+	}
+	putNodeConfiguration(t, leader)
+	waitForStatus(t, http.MethodGet, "http://"+relay.ready+"/v1/readyz", "")
+	if err := relay.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	givenUp, err := net.Dial("tcp", relay.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = givenUp.Close() }()
+	if _, err := fmt.Fprintf(givenUp, "POST %s HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n\r\n%s", testJobPath, len(testJob), testJob); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(orderTimeout)
+	if status := requestTestJob(t, http.MethodDelete, leader, ""); status != http.StatusGone {
+		t.Fatalf("cancellation: status %d, want %d", status, http.StatusGone)
+	}
+	if err := relay.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	readStatus(t, givenUp) // any status, as nobody waits for it
+	if starts := startsOf(t, leader, 2*time.Second); len(starts) > 0 {
+		t.Errorf("%d starts of a cancelled job, the first is %v", len(starts), starts[0])
+	}
+}
--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -42,6 +42,9 @@
 	for _, rec := range s.Workers {
 		s.indexSuspects(rec)
 	}
+	for _, c := range s.EarlyCancels {
+		s.earlyCancelled[c.Key] = true
+	}
 	slices.SortFunc(s.Open, func(a, b *Job) int { return int(a.SubmitNumber) - int(b.SubmitNumber) })
 	slices.SortFunc(s.ended, compareEnds)
 	slices.SortFunc(s.endedWorkers, s.compareWorkerEnds)
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -40,6 +40,9 @@
 	// ZoneVersions holds the versions of the availability zones that operators have
 	// changed.
 	ZoneVersions map[string]uint64 `cbor:"8,keyasint,omitempty"`
+	// EarlyCancels holds the cancellations of unknown jobs, in the order of the
+	// commands.
+	EarlyCancels []EarlyCancel `cbor:"9,keyasint,omitempty"`
 
 	// Open holds the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
@@ -55,6 +58,8 @@
 	// endedWorkers holds the ended worker incarnations in the order of
 	// compareWorkerEnds, for the same reason.
 	endedWorkers []carobrock.WorkerIncarnation
+	// earlyCancelled holds the keys of EarlyCancels.
+	earlyCancelled map[carobrock.JobKey]bool
 	// changeCount counts the changes of worker records.
 	changeCount uint64
 }
@@ -124,6 +129,9 @@
 	if s.ZoneVersions == nil {
 		s.ZoneVersions = map[string]uint64{}
 	}
+	if s.earlyCancelled == nil {
+		s.earlyCancelled = map[carobrock.JobKey]bool{}
+	}
 	if s.Jobs == nil {
 		s.Jobs = map[string]*Job{}
 	}
@@ -225,6 +233,7 @@
 	s.LeaseMillis = max(s.LeaseMillis, c.LeaseMillis)
 	s.deleteExpiredJobs(c.AtUnixMillis - retentionMillis)
 	s.deleteExpiredWorkers(c.AtUnixMillis - retentionMillis)
+	s.deleteExpiredEarlyCancels(c.AtUnixMillis - retentionMillis)
 	return res
 }
 
@@ -277,7 +286,8 @@
 }
 
 // submitJob adds a job. It returns false if the ID belongs to a job of another
-// queue.
+// queue. A job that was cancelled before ends at once: its submission was held up on
+// its way, and its caller was told that there is no such job.
 func (s *State) submitJob(spec *carobrock.JobSpec, atMillis int64) bool {
 	if j := s.Jobs[spec.ID]; j != nil {
 		return j.Spec.Queue == spec.Queue
@@ -295,12 +305,20 @@
 	s.Jobs[spec.ID] = j
 	s.Open = append(s.Open, j)
 	s.Pending[spec.Queue]++
+	if s.earlyCancelled[carobrock.JobKey{ID: spec.ID, Queue: spec.Queue}] {
+		s.endJob(j, carobrock.JobCancelled, atMillis)
+	}
 	return true
 }
 
+// cancelJob cancels a job. It returns false if the queue has no job with this ID.
 func (s *State) cancelJob(k carobrock.JobKey, atMillis int64) bool {
 	j := s.Jobs[k.ID]
-	if j == nil || j.Spec.Queue != k.Queue {
+	if j == nil {
+		s.recordEarlyCancel(k, atMillis)
+		return false
+	}
+	if j.Spec.Queue != k.Queue {
 		return false
 	}
 	s.endJob(j, carobrock.JobCancelled, atMillis)
