Ignore the removal of a leaving worker that has time left

A removal names a worker, not its incarnation. One that a suspended process or the network had held up ended the next incarnation of that name if this one was leaving as well: its runs were told to stop and were started elsewhere a second later, on a site with stops of 0.9 s before they had ended.

A leaving worker reports the shortest time that it has left. A removal that arrives earlier than that, by more than a heartbeat takes on its way, cannot be its own and is ignored. If it has left all the same, its leases expire.

TestLateRemovalLeavesALeavingWorkerItsTime failed before: attempt 2, want 1.

--- a/internal/dispatcher/departure.go
+++ b/internal/dispatcher/departure.go
@@ -187,8 +187,9 @@
 }
 
 // RemoveWorker implements carobrock.JobControl. It ignores a worker that has not
-// reported that it is leaving: the call may be a late one of an earlier
-// incarnation. If such a worker has left all the same, its leases expire.
+// reported that it is leaving, or that it has as little time left as a heartbeat is
+// on its way: the call may be a late one of an earlier incarnation. If such a worker
+// has left all the same, its leases expire.
 func (d *Dispatcher) RemoveWorker(_ context.Context, name string) error {
 	if err := d.ensureLeader(); err != nil {
 		return err
@@ -200,6 +201,11 @@
 		d.Logger.Info().Str("worker", name).Bool("known", w != nil).Msg("dispatcher: removal of a worker that is not leaving ignored")
 		return nil
 	}
+	remaining := time.Until(w.receivedAt.Add(time.Duration(w.report.RemainingMillis) * time.Millisecond))
+	if remaining > heartbeatTransit {
+		d.Logger.Info().Str("worker", name).Dur("remaining", remaining).Msg("dispatcher: removal of a worker that has time left ignored")
+		return nil
+	}
 	d.endIncarnation(w, "worker left")
 	return nil
 }
