A change of a zone names the version on which it is based

The product's own interface had the fault of the platform's orders: a gateway that was suspended, or a connection that was held up, carried out a zone in or out that its operator had given up, after a later one. A change ID does not help if the operator never sends the change again.

PUT /v1/zones/{az} takes baseVersion, like the tables; a change that is based on another version is refused with the code conflict. GET /v1/zones shows the version, which the replicas have counted before. carobrock zone reads it first, and so needs servers of this release; without baseVersion a change applies to any version, as before.

TestHeldUpZoneChangeIsRefused fails without the check of the keeper: "late return: code \"\", out of service false".

--- a/cmd/carobrock/operate.go
+++ b/cmd/carobrock/operate.go
@@ -188,7 +188,11 @@
 		a.ChangeID = client.NewChangeID()
 	}
 	return a.withClient(func(ctx context.Context, cl *client.Client) error {
-		res, err := cl.SetZone(ctx, a.ChangeID, a.Args.Zone, outOfService)
+		base, err := cl.ZoneVersion(ctx, a.Args.Zone)
+		if err != nil {
+			return err
+		}
+		res, err := cl.SetZoneAtVersion(ctx, a.ChangeID, a.Args.Zone, base, outOfService)
 		if err != nil {
 			return err
 		}
--- a/command.go
+++ b/command.go
@@ -41,6 +41,9 @@
 	Name string `json:"name"`
 	// OutOfService is the new value of the operators' out-of-service flag.
 	OutOfService bool `json:"outOfService"`
+	// BaseVersion is the version of the zone on which the change is based. The
+	// change is refused if the zone has another version. Nil applies to any version.
+	BaseVersion *uint64 `json:"baseVersion,omitempty"`
 }
 
 // PutVerdicts records health verdicts of the monitoring group.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -52,7 +52,6 @@
 type zoneRow struct {
 	carobrock.Zone
 	Sequence uint64 `json:"sequence"`
-	Version  uint64 `json:"version"`
 	Index    uint64 `json:"index"`
 }
 
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -355,3 +355,32 @@
 		}
 	}
 }
+
+// Guards against a change of an availability zone that was held up, by a suspended
+// gateway for example, and undoes a later one.
+func TestHeldUpZoneChangeIsRefused(t *testing.T) {
+	version := func(n uint64) *uint64 { return &n }
+	a := &applier{k: newKeeper()}
+	a.apply(&carobrock.Command{PutWorkers: &carobrock.PutWorkers{Workers: []carobrock.Worker{worker("w1", "az1", 1)}}})
+	for _, change := range []struct {
+		name         string
+		id           string
+		outOfService bool
+		base         *uint64
+		wantCode     carobrock.ResultCode
+		wantOut      bool
+	}{
+		{"taken out", "1", true, version(0), "", true},
+		{"returned", "2", false, version(1), "", false},
+		{"taken out again", "3", true, version(2), "", true},
+		{"late return", "4", false, version(1), carobrock.CodeConflict, true},
+		{"return that was sent again", "2", false, version(1), "", true},
+		{"later version than the current one", "5", false, version(9), carobrock.CodeConflict, true},
+		{"any version", "6", false, nil, "", false},
+	} {
+		res := a.apply(&carobrock.Command{ChangeID: change.id, PutZone: &carobrock.PutZone{Name: "az1", OutOfService: change.outOfService, BaseVersion: change.base}})
+		if z := a.k.Zones()[0]; res.Code != change.wantCode || z.OutOfService != change.wantOut {
+			t.Errorf("%s: code %q, out of service %t, want %q and %t", change.name, res.Code, z.OutOfService, change.wantCode, change.wantOut)
+		}
+	}
+}
--- a/internal/keeper/zones.go
+++ b/internal/keeper/zones.go
@@ -37,13 +37,19 @@
 	return z
 }
 
-// putZone sets the out-of-service flag of a known availability zone.
+// putZone sets the out-of-service flag of a known availability zone, unless the
+// change is based on another version of the zone.
 func (k *Keeper) putZone(c *carobrock.PutZone, res *carobrock.Result) {
 	if !k.isKnownZone(c.Name) {
 		refuseCommand(res, carobrock.CodeNotFound, fmt.Sprintf("there is no availability zone %q", c.Name))
 		return
 	}
 	z := k.findOrAddZone(c.Name)
+	if c.BaseVersion != nil && *c.BaseVersion != z.Version {
+		res.Version = z.Version
+		refuseCommand(res, carobrock.CodeConflict, fmt.Sprintf("availability zone %s: the change is based on version %d, the current one is %d", c.Name, *c.BaseVersion, z.Version))
+		return
+	}
 	z.OutOfService = c.OutOfService
 	z.Version++
 	z.Index = res.Index
--- a/internal/operator/requests.go
+++ b/internal/operator/requests.go
@@ -18,8 +18,9 @@
 
 // zoneRequest is the body of PUT /v1/zones/{az}.
 type zoneRequest struct {
-	ChangeID     string `json:"changeId"`
-	OutOfService *bool  `json:"outOfService"`
+	ChangeID     string  `json:"changeId"`
+	OutOfService *bool   `json:"outOfService"`
+	BaseVersion  *uint64 `json:"baseVersion"`
 }
 
 // taskRequest is the body of POST /v1/tasks.
@@ -73,7 +74,7 @@
 		return
 	}
 	h.proposeCommand(w, r, &carobrock.Command{ChangeID: changeIDOrNew(req.ChangeID), PutZone: &carobrock.PutZone{
-		Name: p.ByName("az"), OutOfService: *req.OutOfService,
+		Name: p.ByName("az"), OutOfService: *req.OutOfService, BaseVersion: req.BaseVersion,
 	}})
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -218,7 +218,33 @@
 	return res, err
 }
 
-// SetZone takes an availability zone out of service or returns it to service.
+// ZoneVersion returns the current version of an availability zone, zero if it was
+// never changed.
+func (c *Client) ZoneVersion(ctx context.Context, az string) (uint64, error) {
+	var zones []carobrock.Zone
+	if err := c.doRequest(ctx, http.MethodGet, "/v1/zones", nil, &zones); err != nil {
+		return 0, err
+	}
+	for _, z := range zones {
+		if z.Name == az {
+			return z.Version, nil
+		}
+	}
+	return 0, nil
+}
+
+// SetZoneAtVersion takes an availability zone out of service or returns it to service
+// if its current version is base. Otherwise it fails with a *StatusError whose Code is
+// conflict.
+func (c *Client) SetZoneAtVersion(ctx context.Context, changeID, az string, base uint64, outOfService bool) (*carobrock.Result, error) {
+	res := &carobrock.Result{}
+	body := map[string]any{"changeId": changeID, "baseVersion": base, "outOfService": outOfService}
+	err := c.doRequest(ctx, http.MethodPut, "/v1/zones/"+url.PathEscape(az), body, res)
+	return res, err
+}
+
+// SetZone takes an availability zone out of service or returns it to service, whatever
+// its version is. A call that was given up may still take effect after a later one.
 func (c *Client) SetZone(ctx context.Context, changeID, az string, outOfService bool) (*carobrock.Result, error) {
 	res := &carobrock.Result{}
 	err := c.doRequest(ctx, http.MethodPut, "/v1/zones/"+url.PathEscape(az), map[string]any{"changeId": changeID, "outOfService": outOfService}, res)
--- a/tables.go
+++ b/tables.go
@@ -70,6 +70,8 @@
 	OutOfService bool `json:"outOfService"`
 	// Down is set and cleared by the monitoring group only.
 	Down bool `json:"down"`
+	// Version counts the operators' changes.
+	Version uint64 `json:"version"`
 }
 
 // IsUsable reports whether the zone may get new work.
