Messenger: a frame takes memory as it arrives

Each frame of another process begins with its size, for which up to 256 MiB were allocated before anything else had arrived. A program that writes to the peer port by mistake could use up the memory of a VM with a few headers (284 MB on the smallest).

Up to 256 KiB are now allocated at once, the rest as it arrives.

TestFrameHeaderTakesNoMemory: 20 headers took 5.4 GB before, want at most 32 MB. TestJunkOnThePeerPort (200 connections with random bytes, with and without a session) passed before; it guards the rest.

--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -1,6 +1,8 @@
 package messenger
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/binary"
 	"io"
 
@@ -12,6 +14,10 @@
 // snapshots.
 const maxFrameBytes = 256 << 20
 
+// maxTrustedFrameBytes is the largest size for which memory is allocated before the
+// content of a frame has arrived. Another program may write to the same port.
+const maxTrustedFrameBytes = 256 << 10
+
 // ErrFrameTooLarge reports that a frame to be sent or received exceeds the
 // maximum size.
 var ErrFrameTooLarge = eris.New("messenger: frame exceeds the maximum size")
@@ -41,9 +47,10 @@
 	if size > maxFrameBytes {
 		return ErrFrameTooLarge
 	}
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
-		return err
+	body := &bytes.Buffer{}
+	body.Grow(int(min(size, maxTrustedFrameBytes)) + bytes.MinRead)
+	if n, err := io.Copy(body, io.LimitReader(r, int64(size))); err != nil || n < int64(size) {
+		return cmp.Or(err, io.ErrUnexpectedEOF)
 	}
-	return proto.Unmarshal(buf, m)
+	return proto.Unmarshal(body.Bytes(), m)
 }
