Platform: a leaving worker may stay longer than it had said

The checks of odd entries refused a heartbeat whose remaining time is negative, which a worker may send that stays a little longer than it had said; its last ends would have been refused with it. Before those checks it read as zero. The types of the fields that are not used are still checked, their signs only where a negative one makes no sense.

--- a/job.go
+++ b/job.go
@@ -213,7 +213,7 @@
 	// Capacity is the total capacity that may be committed to tasks.
 	Capacity Capacity
 	// Leaving is set while the worker is shutting down. RemainingMillis is then
-	// the minimum time until it stops, in milliseconds.
+	// the minimum time until it stops, in milliseconds, negative once it has passed.
 	Leaving         bool
 	RemainingMillis int64
 	// Sequence increases with each heartbeat of a worker incarnation.
--- a/validate.go
+++ b/validate.go
@@ -18,8 +18,8 @@
 	MaxCount = 1 << 53
 	// MaxDurationMillis is the longest duration, in milliseconds.
 	MaxDurationMillis = int64(10 * 365 * 24 * time.Hour / time.Millisecond)
-	// MaxListLength is the largest number of elements of a list in a request.
-	MaxListLength = 100_000
+	// maxListLength is the largest number of elements of a list in a request.
+	maxListLength = 100_000
 )
 
 // checkText returns an error that wraps ErrRefused if one of the texts is no valid
@@ -58,11 +58,11 @@
 	switch {
 	case r.Name == "":
 		return eris.Wrap(ErrRefused, "the worker has no name")
-	case !isCount(r.Started) || r.Sequence > MaxCount || !isDuration(r.RemainingMillis):
+	case !isCount(r.Started) || r.Sequence > MaxCount || !isDuration(max(r.RemainingMillis, -r.RemainingMillis)):
 		return eris.Wrapf(ErrRefused, "start %d, sequence %d or remaining time %d ms is out of range", r.Started, r.Sequence, r.RemainingMillis)
 	case !r.Capacity.isWithinLimits():
 		return eris.Wrapf(ErrRefused, "capacity %+v is out of range", r.Capacity)
-	case len(r.Labels) > MaxListLength || len(r.Running) > MaxListLength || len(r.Ends) > MaxListLength:
+	case len(r.Labels) > maxListLength || len(r.Running) > maxListLength || len(r.Ends) > maxListLength:
 		return eris.Wrapf(ErrRefused, "%d labels, %d runs or %d ends are too many", len(r.Labels), len(r.Running), len(r.Ends))
 	}
 	for i := range r.Running {
@@ -126,7 +126,7 @@
 // Check returns an error that wraps ErrRefused and describes the first invalid
 // field of w, or nil if w is valid.
 func (w *MaintenanceWave) Check() error {
-	if len(w.Machines) > MaxListLength || !isDuration(w.DurationMillis) {
+	if len(w.Machines) > maxListLength || !isDuration(w.DurationMillis) {
 		return eris.Wrapf(ErrRefused, "%d machines or a duration of %d ms are too many", len(w.Machines), w.DurationMillis)
 	}
 	return checkText(w.Machines...)
