Tests of suspended nodes: heartbeats and requests are repeated

The tests took any unanswered heartbeat for a failure, which says nothing about the fault that they guard against; a worker tries again.

--- a/cmd/carobrock/suspend_test.go
+++ b/cmd/carobrock/suspend_test.go
@@ -74,52 +74,75 @@
 	testJobPath = "/q/5c0e7a21d94b36f8"
 )
 
-// requestTestJob sends a request on testJob and returns the status of the response.
-func requestTestJob(t *testing.T, method string, n *testNode, body string) int {
+// requestTestJob repeats a request on testJob until its status is want.
+func requestTestJob(t *testing.T, method string, n *testNode, body string, want int) {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+n.callers+testJobPath, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = "h.example"
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
+	status := 0
+	for deadline := time.Now().Add(operationTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		req, err := http.NewRequest(method, "http://"+n.callers+testJobPath, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h.example"
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if status = resp.StatusCode; status == want {
+			return
+		}
 	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	t.Fatalf("%s: status %d, want %d", method, status, want)
 }
 
-// startsOf sends heartbeats of a worker in az1 for a time and returns the tasks that it
-// is told to start.
-func startsOf(t *testing.T, n *testNode, d time.Duration) (starts [][]any) {
+// testWorker is a worker in az1 that starts nothing.
+type testWorker struct {
+	node     *testNode
+	born     int64
+	sequence int
+}
+
+// sendHeartbeats sends heartbeats until n of them are answered and returns the tasks
+// that the worker is told to start.
+func (w *testWorker) sendHeartbeats(t *testing.T, n int) (starts [][]any) {
 	t.Helper()
-	born := time.Now().UnixMilli()
-	for sequence, until := 1, time.Now().Add(d); time.Now().Before(until); sequence++ {
+	for deadline := time.Now().Add(operationTimeout); n > 0; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d heartbeats are not answered", n)
+		}
+		w.sequence++
 		body := fmt.Sprintf(`{"service":"pool","address":"127.0.0.1:9","zone":"az1","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
-"capacity":{"cpu":4000,"mem_mb":4096,"gpu":0},"labels":["a"],"clock_ms":%d,"born":%d,"sequence":%d,"machine":"m1","running":[],"finished":[]}`, sequence, born, sequence)
-		req, err := http.NewRequest(http.MethodPut, "http://"+n.control+"/v1/instances/i-1", strings.NewReader(body))
+"capacity":{"cpu":4000,"mem_mb":4096,"gpu":0},"labels":["a"],"clock_ms":%[1]d,"born":%[2]d,"sequence":%[1]d,"machine":"m1","running":[],"finished":[]}`, w.sequence, w.born)
+		req, err := http.NewRequest(http.MethodPut, "http://"+w.node.control+"/v1/instances/i-1", strings.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
 		}
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 		data, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		orders := struct {
 			Start [][]any `json:"start"`
 		}{}
-		if err != nil || resp.StatusCode != http.StatusOK || json.Unmarshal(data, &orders) != nil {
-			t.Fatalf("heartbeat: status %d, body %s, error %v", resp.StatusCode, data, err)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			continue
+		}
+		if err := json.Unmarshal(data, &orders); err != nil {
+			t.Fatalf("response %s: %v", data, err)
 		}
 		starts = append(starts, orders.Start...)
-		time.Sleep(50 * time.Millisecond)
+		n--
 	}
 	return starts
 }
 
+// watchedHeartbeats is the number of heartbeats, 50 ms apart and more, in whose
+// responses a test looks for starts.
+const watchedHeartbeats = 40
+
 // Guards against a node that was suspended and carries out an order that its operator
 // has given up: the return of a zone to service undid a later order to take it out.
 func TestSuspendedNodeCarriesOutNoGivenUpOrder(t *testing.T) {
@@ -165,14 +188,13 @@
 			if status, _ := readStatus(t, givenUp); status == http.StatusOK {
 				t.Error("the order that was given up is acknowledged")
 			}
-			if status := requestTestJob(t, http.MethodPost, leader, testJob); status != http.StatusOK {
-				t.Fatalf("submission: status %d", status)
-			}
-			if starts := startsOf(t, leader, 2*time.Second); len(starts) > 0 {
+			requestTestJob(t, http.MethodPost, leader, testJob, http.StatusOK)
+			worker := &testWorker{node: leader, born: time.Now().UnixMilli()}
+			if starts := worker.sendHeartbeats(t, watchedHeartbeats); len(starts) > 0 {
 				t.Errorf("%d starts in a zone that is out of service, the first is %v", len(starts), starts[0])
 			}
 			setTestZone(t, http.MethodDelete, other)
-			if starts := startsOf(t, leader, 2*time.Second); len(starts) == 0 {
+			if starts := worker.sendHeartbeats(t, watchedHeartbeats); len(starts) == 0 {
 				t.Error("nothing started after the zone was returned to service")
 			}
 		})
@@ -203,14 +225,13 @@
 		t.Fatal(err)
 	}
 	time.Sleep(orderTimeout)
-	if status := requestTestJob(t, http.MethodDelete, leader, ""); status != http.StatusGone {
-		t.Fatalf("cancellation: status %d, want %d", status, http.StatusGone)
-	}
+	requestTestJob(t, http.MethodDelete, leader, "", http.StatusGone)
 	if err := relay.cmd.Process.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
 	readStatus(t, givenUp) // any status, as nobody waits for it
-	if starts := startsOf(t, leader, 2*time.Second); len(starts) > 0 {
+	worker := &testWorker{node: leader, born: time.Now().UnixMilli()}
+	if starts := worker.sendHeartbeats(t, watchedHeartbeats); len(starts) > 0 {
 		t.Errorf("%d starts of a cancelled job, the first is %v", len(starts), starts[0])
 	}
 }
