--- a/internal/dispatcher/departure.go
+++ b/internal/dispatcher/departure.go
@@ -187,8 +187,8 @@
 }
 
 // RemoveWorker implements carobrock.JobControl. It ignores a worker that has not
-// reported that it is leaving, or that it has as little time left as a heartbeat is
-// on its way: the call may be a late one of an earlier incarnation. If such a worker
+// reported that it is leaving, or that has more than heartbeatTransit left by its
+// last report: the call may be a late one of an earlier incarnation. If such a worker
 // has left all the same, its leases expire.
 func (d *Dispatcher) RemoveWorker(_ context.Context, name string) error {
 	if err := d.ensureLeader(); err != nil {
