Client accounts in the configuration and in jobs

A configuration may list client accounts with digests of keys, a weight and a limit, and a job names the account that submitted it. Nothing uses them yet. Two accounts with one key make a configuration invalid.

--- a/configuration.go
+++ b/configuration.go
@@ -1,6 +1,10 @@
 package carobrock
 
-import "github.com/rotisserie/eris"
+import (
+	"crypto/sha256"
+
+	"github.com/rotisserie/eris"
+)
 
 // Configuration is the document that operators supply: the queues that accept
 // jobs and the pools of workers that run them. Queues refer to pools by name.
@@ -15,6 +19,43 @@
 	// Document is the document as the operator sent it, byte for byte. Reads of
 	// the configuration return it.
 	Document []byte `cbor:"4,keyasint"`
+	// RequiresKeys is set if the configuration lists client accounts. Calls on
+	// queues that are not public then need a key of one of Accounts.
+	RequiresKeys bool `cbor:"5,keyasint,omitempty"`
+	// Accounts lists the client accounts. Their names and their keys are unique.
+	Accounts []ClientAccount `cbor:"6,keyasint,omitempty"`
+}
+
+// ClientAccount is an account on whose behalf callers submit jobs.
+type ClientAccount struct {
+	// Name identifies the account.
+	Name string `cbor:"1,keyasint"`
+	// KeyDigests are the digests of the account's keys. The keys themselves are
+	// only in the operator's document.
+	KeyDigests []KeyDigest `cbor:"2,keyasint"`
+	// Weight is the account's share of a full pool relative to the other accounts.
+	// It is also the number of jobs a second up to which jobs come before those that
+	// exceed the rate of their account.
+	Weight float64 `cbor:"3,keyasint"`
+	// Limit is what the account's runs may take up on all workers together. A
+	// component that is zero is not limited.
+	Limit Capacity `cbor:"4,keyasint"`
+}
+
+// KeyDigest is the SHA-256 digest of a caller's key.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a caller's key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// AccountByName returns the account with the given name, or nil.
+func (c *Configuration) AccountByName(name string) *ClientAccount {
+	for i := range c.Accounts {
+		if c.Accounts[i].Name == name {
+			return &c.Accounts[i]
+		}
+	}
+	return nil
 }
 
 // Queue accepts jobs submitted by requests for one host and path prefix.
@@ -41,6 +82,8 @@
 	TimeoutMillis int64 `cbor:"9,keyasint"`
 	// Policy is set if an Advisor decides which workers may run a step.
 	Policy *AdvisorPolicy `cbor:"10,keyasint,omitempty"`
+	// Public is set if calls need no key.
+	Public bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Key returns the identity of the queue across versions of the configuration.
@@ -112,5 +155,35 @@
 		}
 		keys[q.Key()] = true
 	}
+	return c.checkAccounts()
+}
+
+// checkAccounts returns an error that wraps ErrConfiguration and describes the first
+// invalid client account, or nil if all are valid.
+func (c *Configuration) checkAccounts() error {
+	names, owners := map[string]bool{}, map[KeyDigest]string{}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		if err := checkText(a.Name); err != nil {
+			return eris.Wrap(ErrConfiguration, err.Error())
+		}
+		switch {
+		case a.Name == "":
+			return eris.Wrap(ErrConfiguration, "a client account has no name")
+		case names[a.Name]:
+			return eris.Wrapf(ErrConfiguration, "two client accounts have the name %q", a.Name)
+		case !(a.Weight >= 0 && a.Weight <= MaxAmount):
+			return eris.Wrapf(ErrConfiguration, "the weight of client account %q is out of range", a.Name)
+		case !a.Limit.isWithinLimits():
+			return eris.Wrapf(ErrConfiguration, "the limit of client account %q is out of range", a.Name)
+		}
+		names[a.Name] = true
+		for _, d := range a.KeyDigests {
+			if owner, ok := owners[d]; ok && owner != a.Name {
+				return eris.Wrapf(ErrConfiguration, "client accounts %q and %q share a key", owner, a.Name)
+			}
+			owners[d] = a.Name
+		}
+	}
 	return nil
 }
--- a/job.go
+++ b/job.go
@@ -23,6 +23,9 @@
 	FirstUnixMillis int64 `cbor:"6,keyasint,omitempty"`
 	// IntervalMillis is the interval between occurrences, in milliseconds.
 	IntervalMillis int64 `cbor:"7,keyasint,omitempty"`
+	// Account names the client account that submitted the job, empty if there is
+	// none.
+	Account string `cbor:"8,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of times that the steps run. It is at least 1.
--- a/validate.go
+++ b/validate.go
@@ -94,7 +94,7 @@
 // Check returns an error that wraps ErrRefused and describes the first invalid
 // field of s, or nil if s is valid.
 func (s *JobSpec) Check() error {
-	if err := checkText(s.ID, s.Queue, s.Payload); err != nil {
+	if err := checkText(s.ID, s.Queue, s.Payload, s.Account); err != nil {
 		return err
 	}
 	if !isCount(s.FirstUnixMillis) || !isDuration(s.IntervalMillis) {
