Job calls carry the caller's client account; refusals for lack of capacity

JobControl names the account of a cancellation or a read, and jobs of other accounts are unknown to it. Callers without an account use the wire methods of earlier releases. A refusal for lack of capacity is an error of its own with a delay. After an attempt whose outcome is unknown it counts as unknown, since it would promise that the job does not run (TestCallFindsTheLeader).

--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,10 @@
 package carobrock
 
-import "github.com/rotisserie/eris"
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
 
 // Errors returned by Control and JobControl.
 var (
@@ -20,3 +24,18 @@
 	// unexpired lease.
 	ErrNameTaken = eris.New("carobrock: another worker announces this name")
 )
+
+// OverloadError reports that a job was refused for lack of capacity. It matches
+// ErrNotApplied.
+type OverloadError struct {
+	// RetryAfter is how long the caller should wait before it submits the job again.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *OverloadError) Error() string {
+	return "carobrock: the job was refused for lack of capacity, retry after " + e.RetryAfter.String()
+}
+
+// Is reports whether target is ErrNotApplied.
+func (e *OverloadError) Is(target error) bool { return target == ErrNotApplied }
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -28,6 +28,12 @@
 	return j.State == carobrock.JobPending || j.State == carobrock.JobRunning
 }
 
+// IsAccessibleTo reports whether a caller with the given client account, empty if it
+// has none, may refer to the job.
+func (j *Job) IsAccessibleTo(account string) bool {
+	return account == "" || j.Spec.Account == "" || j.Spec.Account == account
+}
+
 // forEachRun calls fn for each active run of the job.
 func (j *Job) forEachRun(fn func(ref carobrock.TaskRef, r *TaskRun)) {
 	for k, o := range j.Occurrences {
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -256,11 +256,11 @@
 }
 
 // submitJob adds a job. It returns false if the ID belongs to a job of another
-// queue. A job that was cancelled before ends at once: its submission was held up on
+// queue or client account. A job that was cancelled before ends at once: its submission was held up on
 // its way, and its caller was told that there is no such job.
 func (s *State) submitJob(spec *carobrock.JobSpec, atMillis int64) bool {
 	if j := s.Jobs[spec.ID]; j != nil {
-		return j.Spec.Queue == spec.Queue
+		return j.Spec.Queue == spec.Queue && j.IsAccessibleTo(spec.Account)
 	}
 	s.SubmitCount++
 	j := &Job{
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -34,12 +34,21 @@
 }
 
 // CancelJob implements carobrock.JobControl.
-func (d *Dispatcher) CancelJob(ctx context.Context, key carobrock.JobKey) (bool, error) {
-	if err := key.Check(); err != nil {
+func (d *Dispatcher) CancelJob(ctx context.Context, q carobrock.JobQuery) (bool, error) {
+	if err := q.Check(); err != nil {
 		return false, err
 	}
+	// The account of a job never changes, so the check may precede the command.
+	foreign := false
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		j := s.Jobs[q.ID]
+		foreign = j != nil && !j.IsAccessibleTo(q.Account)
+	})
+	if foreign {
+		return false, d.ensureLeader()
+	}
 	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
-		c.Cancel = append(c.Cancel, key)
+		c.Cancel = append(c.Cancel, q.JobKey)
 		return len(c.Cancel) - 1
 	})
 	if err != nil {
@@ -49,9 +58,9 @@
 }
 
 // JobState implements carobrock.JobControl.
-func (d *Dispatcher) JobState(_ context.Context, key carobrock.JobKey) (state carobrock.JobState, err error) {
+func (d *Dispatcher) JobState(_ context.Context, q carobrock.JobQuery) (state carobrock.JobState, err error) {
 	err = d.readState(func(s *bookkeeper.State) {
-		if j := s.Jobs[key.ID]; j != nil && j.Spec.Queue == key.Queue {
+		if j := s.Jobs[q.ID]; j != nil && j.Spec.Queue == q.Queue && j.IsAccessibleTo(q.Account) {
 			state = j.State
 		}
 	})
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -179,13 +179,13 @@
 // cancelJob cancels a job, which may not exist.
 func (h *harness) cancelJob(id string) {
 	h.t.Helper()
-	_, err := h.d.CancelJob(context.Background(), carobrock.JobKey{ID: id, Queue: queueKey})
+	_, err := h.d.CancelJob(context.Background(), carobrock.JobQuery{JobKey: carobrock.JobKey{ID: id, Queue: queueKey}})
 	h.must(err)
 }
 
 func (h *harness) jobState(id string) carobrock.JobState {
 	h.t.Helper()
-	s, err := h.d.JobState(context.Background(), carobrock.JobKey{ID: id, Queue: queueKey})
+	s, err := h.d.JobState(context.Background(), carobrock.JobQuery{JobKey: carobrock.JobKey{ID: id, Queue: queueKey}})
 	h.must(err)
 	return s
 }
--- a/internal/dispatcher/invalid_test.go
+++ b/internal/dispatcher/invalid_test.go
@@ -92,7 +92,7 @@
 			return err
 		}},
 		{"ID of a cancelled job", func(ctx context.Context, c carobrock.JobControl) error {
-			_, err := c.CancelJob(ctx, carobrock.JobKey{ID: unreadable, Queue: queueKey})
+			_, err := c.CancelJob(ctx, carobrock.JobQuery{JobKey: carobrock.JobKey{ID: unreadable, Queue: queueKey}})
 			return err
 		}},
 		{"queue of a configuration", func(ctx context.Context, c carobrock.JobControl) error {
--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -26,6 +28,11 @@
 	methodLeave         = "jobs/leave"
 	methodStartWave     = "jobs/startWave"
 	methodWaveDone      = "jobs/waveDone"
+	methodAccounts      = "jobs/accounts"
+	// The variants for callers with a client account. Callers without one use
+	// methodCancel and methodState, which earlier releases know.
+	methodCancelAs = "jobs/cancelAs"
+	methodStateAs  = "jobs/stateAs"
 )
 
 // NotLeaderError reports that a replica is not the leader. The call had no
@@ -66,11 +73,19 @@
 		},
 		methodCancel: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := &carobrock.JobKey{}
-			return serveCall(body, in, func() (any, error) { return control.CancelJob(ctx, *in) })
+			return serveCall(body, in, func() (any, error) { return control.CancelJob(ctx, carobrock.JobQuery{JobKey: *in}) })
+		},
+		methodCancelAs: func(ctx context.Context, body []byte) ([]byte, error) {
+			in := &accountQuery{}
+			return serveCall(body, in, func() (any, error) { return control.CancelJob(ctx, in.jobQuery()) })
 		},
 		methodState: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := &carobrock.JobKey{}
-			return serveCall(body, in, func() (any, error) { return control.JobState(ctx, *in) })
+			return serveCall(body, in, func() (any, error) { return control.JobState(ctx, carobrock.JobQuery{JobKey: *in}) })
+		},
+		methodStateAs: func(ctx context.Context, body []byte) ([]byte, error) {
+			in := &accountQuery{}
+			return serveCall(body, in, func() (any, error) { return control.JobState(ctx, in.jobQuery()) })
 		},
 		methodPending: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := ""
@@ -112,6 +127,10 @@
 			in := int64(0)
 			return serveCall(body, &in, func() (any, error) { return control.IsWaveDone(ctx, in) })
 		},
+		methodAccounts: func(ctx context.Context, body []byte) ([]byte, error) {
+			var in any
+			return serveCall(body, &in, func() (any, error) { return control.Accounts(ctx) })
+		},
 	}
 }
 
@@ -130,13 +149,17 @@
 // encodeError converts an error of a JobControl to a RemoteError. A
 // NotLeaderError is sent as CodeNotLeader with the leader's address.
 // ErrNotApplied is sent as CodeNotLeader without an address, so that the caller
-// looks for the leader again. ErrRefused and ErrVersionConflict are sent as
+// looks for the leader again. An OverloadError is sent as codeOverloaded with its
+// delay in milliseconds. ErrRefused and ErrVersionConflict are sent as
 // codeRefused and codeConflict, and any other error as codeOutcomeUnknown.
 func encodeError(err error) error {
 	var notLeader *NotLeaderError
+	var overload *carobrock.OverloadError
 	switch {
 	case errors.As(err, &notLeader):
 		return &messenger.RemoteError{Code: CodeNotLeader, Text: notLeader.Leader}
+	case errors.As(err, &overload):
+		return &messenger.RemoteError{Code: codeOverloaded, Text: strconv.FormatInt(overload.RetryAfter.Milliseconds(), 10)}
 	case errors.Is(err, carobrock.ErrNotApplied):
 		return &messenger.RemoteError{Code: CodeNotLeader, Text: ""}
 	case errors.Is(err, carobrock.ErrRefused):
@@ -160,6 +183,12 @@
 		return eris.Wrap(carobrock.ErrRefused, remote.Text)
 	case codeConflict:
 		return eris.Wrap(carobrock.ErrVersionConflict, remote.Text)
+	case codeOverloaded:
+		millis, parseErr := strconv.ParseInt(remote.Text, 10, 64)
+		if parseErr != nil {
+			return eris.Wrap(carobrock.ErrNotApplied, parseErr.Error())
+		}
+		return &carobrock.OverloadError{RetryAfter: time.Duration(millis) * time.Millisecond}
 	default:
 		return err
 	}
@@ -182,6 +211,25 @@
 	return nil
 }
 
+// accountQuery is a carobrock.JobQuery on the wire.
+type accountQuery struct {
+	Key     carobrock.JobKey `cbor:"1,keyasint"`
+	Account string           `cbor:"2,keyasint"`
+}
+
+func (q *accountQuery) jobQuery() carobrock.JobQuery {
+	return carobrock.JobQuery{JobKey: q.Key, Account: q.Account}
+}
+
+// queryLeader calls method for a caller without a client account, methodAs for one
+// with an account.
+func (l *Locator) queryLeader(ctx context.Context, method, methodAs string, q carobrock.JobQuery, result any) error {
+	if q.Account == "" {
+		return l.callLeader(ctx, method, &q.JobKey, result)
+	}
+	return l.callLeader(ctx, methodAs, &accountQuery{Key: q.JobKey, Account: q.Account}, result)
+}
+
 // SubmitJob implements carobrock.JobControl.
 func (l *Locator) SubmitJob(ctx context.Context, spec *carobrock.JobSpec) (ok bool, err error) {
 	err = l.callLeader(ctx, methodSubmit, spec, &ok)
@@ -189,14 +237,14 @@
 }
 
 // CancelJob implements carobrock.JobControl.
-func (l *Locator) CancelJob(ctx context.Context, key carobrock.JobKey) (ok bool, err error) {
-	err = l.callLeader(ctx, methodCancel, &key, &ok)
+func (l *Locator) CancelJob(ctx context.Context, q carobrock.JobQuery) (ok bool, err error) {
+	err = l.queryLeader(ctx, methodCancel, methodCancelAs, q, &ok)
 	return ok, err
 }
 
 // JobState implements carobrock.JobControl.
-func (l *Locator) JobState(ctx context.Context, key carobrock.JobKey) (state carobrock.JobState, err error) {
-	err = l.callLeader(ctx, methodState, &key, &state)
+func (l *Locator) JobState(ctx context.Context, q carobrock.JobQuery) (state carobrock.JobState, err error) {
+	err = l.queryLeader(ctx, methodState, methodStateAs, q, &state)
 	return state, err
 }
 
@@ -259,3 +307,9 @@
 	err = l.callLeader(ctx, methodWaveDone, number, &ok)
 	return ok, err
 }
+
+// Accounts implements carobrock.JobControl.
+func (l *Locator) Accounts(ctx context.Context) (out []carobrock.AccountStatus, err error) {
+	err = l.callLeader(ctx, methodAccounts, nil, &out)
+	return out, err
+}
--- a/internal/locator/localfirst.go
+++ b/internal/locator/localfirst.go
@@ -39,19 +39,19 @@
 }
 
 // CancelJob implements carobrock.JobControl.
-func (n *LocalFirstControl) CancelJob(ctx context.Context, key carobrock.JobKey) (bool, error) {
-	ok, err := n.Local.CancelJob(ctx, key)
+func (n *LocalFirstControl) CancelJob(ctx context.Context, q carobrock.JobQuery) (bool, error) {
+	ok, err := n.Local.CancelJob(ctx, q)
 	if n.shouldForward(err) {
-		return n.Remote.CancelJob(ctx, key)
+		return n.Remote.CancelJob(ctx, q)
 	}
 	return ok, err
 }
 
 // JobState implements carobrock.JobControl.
-func (n *LocalFirstControl) JobState(ctx context.Context, key carobrock.JobKey) (carobrock.JobState, error) {
-	state, err := n.Local.JobState(ctx, key)
+func (n *LocalFirstControl) JobState(ctx context.Context, q carobrock.JobQuery) (carobrock.JobState, error) {
+	state, err := n.Local.JobState(ctx, q)
 	if n.shouldForward(err) {
-		return n.Remote.JobState(ctx, key)
+		return n.Remote.JobState(ctx, q)
 	}
 	return state, err
 }
@@ -145,3 +145,12 @@
 	}
 	return done, err
 }
+
+// Accounts implements carobrock.JobControl.
+func (n *LocalFirstControl) Accounts(ctx context.Context) ([]carobrock.AccountStatus, error) {
+	out, err := n.Local.Accounts(ctx)
+	if n.shouldForward(err) {
+		return n.Remote.Accounts(ctx)
+	}
+	return out, err
+}
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -26,6 +26,9 @@
 	codeRefused = "refused"
 	// codeConflict is the error code of a change that is based on an earlier version.
 	codeConflict = "conflict"
+	// codeOverloaded is the error code of a job that was refused for lack of capacity.
+	// The error text is the delay before the next attempt in milliseconds.
+	codeOverloaded = "overloaded"
 	// attemptTimeout is the timeout of one attempt on one replica. It equals
 	// the default election timeout, the minimum time after which the replicas
 	// elect another leader if the leader does not respond.
@@ -206,6 +209,10 @@
 			continue
 		}
 		if isFinal(err) {
+			if outcomeUnknown && isOverloaded(err) {
+				// An earlier attempt may still be executed.
+				return nil, eris.Wrap(carobrock.ErrOutcomeUnknown, err.Error())
+			}
 			return nil, err
 		}
 		_ = sleeper.Sleep(ctx, retryInterval) // the loop condition checks ctx
@@ -239,6 +246,12 @@
 	return false
 }
 
+// isOverloaded reports whether err is a RemoteError with codeOverloaded.
+func isOverloaded(err error) bool {
+	var remote *messenger.RemoteError
+	return errors.As(err, &remote) && remote.Code == codeOverloaded
+}
+
 // isFinal reports whether err is a RemoteError after which the call must not be
 // retried, that is, one with any code except CodeNotLeader and
 // codeOutcomeUnknown.
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -32,6 +32,10 @@
 	}
 }
 
+func refuseForOverload(context.Context) ([]byte, error) {
+	return nil, &messenger.RemoteError{Code: "overloaded", Text: "250"}
+}
+
 func hangUntilTimeout(ctx context.Context) ([]byte, error) {
 	<-ctx.Done()
 	return nil, messenger.ErrNoResponse
@@ -54,6 +58,8 @@
 		{name: "named leader is down", replicas: fakeReplicas{"a": redirectTo("b"), "c": answerOK}, maxElapsed: 200 * time.Millisecond},
 		{name: "all down", replicas: fakeReplicas{}, wantErr: carobrock.ErrNotApplied, maxElapsed: 3 * time.Second},
 		{name: "one may have executed the call", replicas: fakeReplicas{"a": hangUntilTimeout}, wantErr: carobrock.ErrOutcomeUnknown, maxElapsed: 3 * time.Second},
+		// The refusal would promise that the job does not run.
+		{name: "refused after an attempt that may be executed", replicas: fakeReplicas{"a": hangUntilTimeout, "b": refuseForOverload}, wantErr: carobrock.ErrOutcomeUnknown, maxElapsed: 1100 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -172,18 +172,18 @@
 
 // CancelJob has the leader cancel a job. It returns false if there is no such job.
 // Its errors are those of SubmitJob.
-func (s *Submitter) CancelJob(ctx context.Context, key carobrock.JobKey, wait time.Duration) (bool, error) {
+func (s *Submitter) CancelJob(ctx context.Context, q carobrock.JobQuery, wait time.Duration) (bool, error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
-	return s.Control.CancelJob(ctx, key)
+	return s.Control.CancelJob(ctx, q)
 }
 
 // JobState returns a job's state, empty if there is no such job. Its errors are
 // those of SubmitJob.
-func (s *Submitter) JobState(ctx context.Context, key carobrock.JobKey, wait time.Duration) (carobrock.JobState, error) {
+func (s *Submitter) JobState(ctx context.Context, q carobrock.JobQuery, wait time.Duration) (carobrock.JobState, error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
-	return s.Control.JobState(ctx, key)
+	return s.Control.JobState(ctx, q)
 }
 
 // PendingJobs returns the number of jobs in a queue that have no started task. Its
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -77,6 +77,14 @@
 	Queue string
 }
 
+// JobQuery refers to a job on behalf of a caller.
+type JobQuery struct {
+	JobKey
+	// Account names the caller's client account, empty if it has none. If it is set,
+	// jobs of other accounts are treated as unknown.
+	Account string
+}
+
 // WorkerEnds lists ended runs reported by one worker incarnation.
 type WorkerEnds struct {
 	// Incarnation identifies the worker incarnation.
--- a/jobcontrol.go
+++ b/jobcontrol.go
@@ -8,14 +8,15 @@
 // retried.
 type JobControl interface {
 	// SubmitJob stores a job. It returns false if the ID belongs to a job of
-	// another queue.
+	// another queue or client account. It returns an *OverloadError if the job was
+	// refused for lack of capacity.
 	SubmitJob(ctx context.Context, spec *JobSpec) (bool, error)
 	// CancelJob cancels a job. It returns false if the queue has no job with
-	// this ID.
-	CancelJob(ctx context.Context, key JobKey) (bool, error)
+	// this ID, or if the job belongs to another client account.
+	CancelJob(ctx context.Context, q JobQuery) (bool, error)
 	// JobState returns the state of a job, or the empty string if there is no
-	// such job.
-	JobState(ctx context.Context, key JobKey) (JobState, error)
+	// such job or it belongs to another client account.
+	JobState(ctx context.Context, q JobQuery) (JobState, error)
 	// PendingJobs returns the number of jobs in a queue that have no started
 	// task.
 	PendingJobs(ctx context.Context, queue string) (int, error)
@@ -44,8 +45,35 @@
 	// IsWaveDone reports whether maintenance has started on all machines of a
 	// wave that still exist.
 	IsWaveDone(ctx context.Context, number int64) (bool, error)
+	// Accounts returns the status of each client account, in the order of the
+	// configuration, followed by that of the jobs without an account.
+	Accounts(ctx context.Context) ([]AccountStatus, error)
 }
 
+// AccountStatus is what a client account has running and waiting.
+type AccountStatus struct {
+	// Name is the name of the account, empty for the jobs without an account.
+	Name string `json:"name" cbor:"1,keyasint"`
+	// Weight and Limit are those of the configuration in force.
+	Weight float64  `json:"weight" cbor:"2,keyasint"`
+	Limit  Capacity `json:"limit" cbor:"3,keyasint"`
+	// Usage is the size of all runs that may be running.
+	Usage Capacity `json:"usage" cbor:"4,keyasint"`
+	// Runs counts these runs, Waiting the tasks that wait for a worker, and Limited
+	// those of them that wait because of the limit.
+	Runs    int `json:"runs" cbor:"5,keyasint"`
+	Waiting int `json:"waiting" cbor:"6,keyasint"`
+	Limited int `json:"limited" cbor:"7,keyasint"`
+	// ExcessJobs counts the open jobs that were submitted beyond the account's rate.
+	ExcessJobs int `json:"excessJobs" cbor:"8,keyasint"`
+	// NeverFits lists open jobs with a task or a gang that exceeds the limit by itself,
+	// at most MaxListedJobs.
+	NeverFits []string `json:"neverFits,omitempty" cbor:"9,keyasint,omitempty"`
+}
+
+// MaxListedJobs is the maximum number of jobs listed in an AccountStatus.
+const MaxListedJobs = 20
+
 // WatchTimeoutMillis is the time for which WatchConfiguration waits for a newer
 // configuration, in milliseconds. It is below the timeout of calls between
 // processes, one second.
