Bookkeeper: usage and rate of client accounts

Limits need what an account may have running, at once at a new leader, and a placement round must not walk all runs.

Jobs beyond the rate of their account are marked when they are submitted, by a token bucket in the replicated state. It holds integers, since compilers may fuse multiplications and additions of floating-point numbers on some processors.

24 random histories of 500 commands agree with a naive recomputation after each command.

--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -24,7 +24,7 @@
 		}
 		for i := range x.InactiveRuns {
 			r := &x.InactiveRuns[i]
-			rec.Runs[carobrock.Run{Task: r.Task, Attempt: r.Attempt}] = &r.Step
+			s.addRun(x.Incarnation, carobrock.Run{Task: r.Task, Attempt: r.Attempt}, &r.Step, r.Account)
 		}
 	}
 	for _, j := range s.Jobs {
@@ -53,7 +53,7 @@
 // indexRuns adds the active runs of j to the records of their workers.
 func (s *State) indexRuns(j *Job) {
 	j.forEachRun(func(ref carobrock.TaskRef, r *TaskRun) {
-		s.workerRecord(r.Incarnation).Runs[carobrock.Run{Task: ref, Attempt: r.Attempt}] = &j.Spec.Steps[ref.Step]
+		s.addRun(r.Incarnation, carobrock.Run{Task: ref, Attempt: r.Attempt}, &j.Spec.Steps[ref.Step], j.Spec.Account)
 	})
 }
 
@@ -130,7 +130,7 @@
 	var out []savedInactiveRun
 	for r, step := range rec.Runs {
 		if !s.IsActive(incarnation, r) {
-			out = append(out, savedInactiveRun{Task: r.Task, Attempt: r.Attempt, Step: *step})
+			out = append(out, savedInactiveRun{Task: r.Task, Attempt: r.Attempt, Step: *step, Account: rec.Accounts[r]})
 		}
 	}
 	return out
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -21,6 +21,8 @@
 	Occurrences []*Occurrence `cbor:"7,keyasint"`
 	// OpenOccurrences counts the occurrences that are not done.
 	OpenOccurrences int `cbor:"8,keyasint"`
+	// ExceedsRate is set if the job was submitted beyond the rate of its account.
+	ExceedsRate bool `cbor:"9,keyasint,omitempty"`
 }
 
 // IsOpen reports whether the job has not ended.
@@ -121,6 +123,9 @@
 	// Runs are the runs that may be running on the worker, with their steps. A run
 	// of an ended job remains until its own end is recorded.
 	Runs map[carobrock.Run]*carobrock.Step `cbor:"-"`
+	// Accounts holds the client accounts of those of Runs whose jobs have one. Jobs
+	// are forgotten, and their IDs used again, while runs may still be recorded.
+	Accounts map[carobrock.Run]string `cbor:"-"`
 	// Machine is the machine on which the worker runs, "" if it is not known.
 	Machine string `cbor:"-"`
 	// LostRuns are the unproven runs that were lost while the worker was silent. They
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -43,6 +43,8 @@
 	// EarlyCancels holds the cancellations of unknown jobs, in the order of the
 	// commands.
 	EarlyCancels []EarlyCancel `cbor:"9,keyasint,omitempty"`
+	// Buckets holds the token buckets of the client accounts that have submitted jobs.
+	Buckets map[string]*TokenBucket `cbor:"10,keyasint,omitempty"`
 
 	// Open holds the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
@@ -51,6 +53,9 @@
 	// Suspects holds the tasks of open jobs under which workers have crashed or may
 	// have crashed, unless a later run was proven.
 	Suspects map[carobrock.TaskRef]bool `cbor:"-"`
+	// usage holds what the runs of each client account take up, by name. Accounts
+	// without runs have no element.
+	usage map[string]*AccountUsage
 	// ended holds the ended jobs in the order of compareEnds. It must not be the
 	// order of the commands, which a snapshot does not contain and which differs
 	// from it when the leader's clock jumps.
@@ -83,6 +88,8 @@
 	Task    carobrock.TaskRef `cbor:"1,keyasint"`
 	Attempt uint64            `cbor:"2,keyasint"`
 	Step    carobrock.Step    `cbor:"3,keyasint"`
+	// Account is the client account of the job, which may be unknown by now.
+	Account string `cbor:"4,keyasint,omitempty"`
 }
 
 // savedState is the form of a State in a snapshot.
@@ -144,6 +151,9 @@
 	if s.Pending == nil {
 		s.Pending = map[string]int{}
 	}
+	if s.usage == nil {
+		s.usage = map[string]*AccountUsage{}
+	}
 	if s.Suspects == nil {
 		s.Suspects = map[carobrock.TaskRef]bool{}
 	}
@@ -242,6 +252,7 @@
 		return
 	}
 	s.Configuration = c
+	s.dropBuckets()
 	for _, j := range s.Open {
 		if q := c.QueueByKey(j.Spec.Queue); q != nil {
 			j.Queue = *q
@@ -266,6 +277,7 @@
 	j := &Job{
 		Spec: *spec, SubmitNumber: s.SubmitCount, State: carobrock.JobPending, SubmittedUnixMillis: atMillis,
 		Occurrences: make([]*Occurrence, spec.Occurrences()), OpenOccurrences: spec.Occurrences(),
+		ExceedsRate: s.exceedsRate(spec.Account, atMillis),
 	}
 	if s.Configuration != nil {
 		if q := s.Configuration.QueueByKey(spec.Queue); q != nil {
--- a/internal/bookkeeper/restore_test.go
+++ b/internal/bookkeeper/restore_test.go
@@ -28,6 +28,8 @@
 	nowMillis    int64
 	nextEnd      map[carobrock.WorkerIncarnation]uint64
 	clockJumps   bool
+	// accounts are the client accounts that submit jobs, nil if there are none.
+	accounts []string
 }
 
 func (g *commandGenerator) incarnation() carobrock.WorkerIncarnation {
@@ -40,6 +42,9 @@
 
 func (g *commandGenerator) spec() carobrock.JobSpec {
 	spec := carobrock.JobSpec{ID: g.jobID(), Queue: queue, Repetitions: g.IntN(3), Payload: "payload"}
+	if g.accounts != nil {
+		spec.Account = g.accounts[g.IntN(len(g.accounts))]
+	}
 	for i := range 1 + g.IntN(3) {
 		step := carobrock.Step{
 			Count: 1 + g.IntN(3), Size: carobrock.Capacity{MilliCPU: int64(100 * i)},
@@ -155,6 +160,9 @@
 			Version: int64(g.IntN(30)), Pools: []carobrock.WorkerPool{{Name: "pool"}},
 			Queues: []carobrock.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "pool", MaxAttempts: 1 + g.IntN(4), TimeoutMillis: 1000}},
 		}
+		if g.accounts != nil {
+			c.Configuration.Accounts = []carobrock.ClientAccount{{Name: "x", Weight: float64(g.IntN(4))}, {Name: "y", Weight: 0.5}}
+		}
 	case 2:
 		c.Waves = append(c.Waves, carobrock.MaintenanceWave{Number: int64(g.IntN(4)), Machines: []string{"m1", "m2"}, MaxDown: 1})
 	case 3:
--- a/internal/bookkeeper/runs.go
+++ b/internal/bookkeeper/runs.go
@@ -39,7 +39,7 @@
 	if len(t.Runs) == 1 {
 		st.ActiveCount++
 	}
-	s.workerRecord(a.Incarnation).Runs[carobrock.Run{Task: a.Task, Attempt: a.Attempt}] = &j.Spec.Steps[a.Task.Step]
+	s.addRun(a.Incarnation, carobrock.Run{Task: a.Task, Attempt: a.Attempt}, &j.Spec.Steps[a.Task.Step], j.Spec.Account)
 	s.markChanged(a.Incarnation)
 	s.markJobRunning(j)
 }
@@ -157,7 +157,7 @@
 // task.
 func (s *State) removeRun(incarnation carobrock.WorkerIncarnation, r carobrock.Run) bool {
 	if rec := s.Workers[incarnation]; rec != nil {
-		delete(rec.Runs, r)
+		s.deleteRun(rec, r)
 		delete(rec.Isolated, r)
 		s.markChanged(incarnation)
 	}
