Allocator: limits of client accounts

Requests of an account share the room that is left below its limit. Assignments take from it, an undone gang gives back, and a gang needs room for all its tasks. Tasks that are held back are counted, and do not mark their class as unplaceable, as the workers may have capacity for other accounts.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -19,7 +19,8 @@
 // Place returns assignments for requests, which are served in the given order,
 // and updates the free and spare capacity and the service loads of the workers.
 // It assigns at most limit tasks, except that a gang is assigned as a whole and
-// may exceed limit.
+// may exceed limit. No assignment exceeds the room of the request's client account.
+// Tasks for which there is none are counted in the request.
 func (a *Allocator) Place(requests []Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
 	var allAwaited []*Worker
@@ -29,9 +30,14 @@
 		if len(out) >= limit {
 			break
 		}
+		requests[i].HeldCount = 0
 		if isKnownUnplaceable(unplaceable, &requests[i]) {
 			continue
 		}
+		if (requests[i].IsIsolated || requests[i].Step.Gang) && !requests[i].hasRoomFor(len(requests[i].Indices)) {
+			requests[i].HeldCount = len(requests[i].Indices)
+			continue
+		}
 		if requests[i].IsIsolated {
 			placed, awaited := a.placeIsolated(&requests[i], workers)
 			out = append(out, placed...)
@@ -44,7 +50,9 @@
 			continue
 		}
 		placed := a.placeIndividually(&requests[i], workers, limit-len(out))
-		if len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit && isUnconstrained(&requests[i]) {
+		// Tasks that are held back by the limit of their account say nothing about the
+		// workers, which may have capacity for other accounts.
+		if requests[i].HeldCount == 0 && len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit && isUnconstrained(&requests[i]) {
 			unplaceable[classOf(&requests[i])] = &requests[i]
 		}
 		out = append(out, placed...)
@@ -85,6 +93,10 @@
 // A worker's score changes only when it is assigned a task, so only that score is
 // computed again.
 func (a *Allocator) placeIndividually(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
+	if !r.hasRoomFor(1) {
+		r.HeldCount = len(r.Indices)
+		return nil
+	}
 	var out []carobrock.TaskAssignment
 	scores := make([]float64, len(workers))
 	for i, w := range workers {
@@ -94,6 +106,10 @@
 		if len(out) >= limit {
 			break
 		}
+		if !r.hasRoomFor(1) {
+			r.HeldCount = len(r.Indices) - i
+			break
+		}
 		top := indexOfMax(scores)
 		if top < 0 {
 			break
@@ -194,6 +210,9 @@
 	w.RunCount++
 	w.RecentCount++
 	a.updateServices(r.Step, w, 1)
+	if r.Room != nil {
+		r.Room.Size = r.Room.Size.Sub(r.Step.Size)
+	}
 	if r.RunsPerWorker != nil {
 		r.RunsPerWorker[w.Incarnation]++
 	}
@@ -207,6 +226,9 @@
 	w.RunCount--
 	w.RecentCount--
 	a.updateServices(r.Step, w, -1)
+	if r.Room != nil {
+		r.Room.Size = r.Room.Size.Add(r.Step.Size)
+	}
 	if r.RunsPerWorker != nil {
 		r.RunsPerWorker[w.Incarnation]--
 	}
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -71,6 +71,12 @@
 	Tickets map[string]string
 	// NeedsTicket is set if only workers with a ticket may run the step.
 	NeedsTicket bool
+	// Room is what the client account of the job may still start. It is shared by the
+	// requests of the account, and nil if the account has no limit.
+	Room *Room
+	// HeldCount is set by Place to the number of tasks that it did not place because
+	// they exceed Room.
+	HeldCount int
 	// IsSuspect is set if the tasks are suspected of crashing workers. They get the
 	// workers with the fewest runs.
 	IsSuspect bool
@@ -80,6 +86,24 @@
 	IsIsolated bool
 }
 
+// Room is the remaining part of a client account's limit. Place updates it.
+type Room struct {
+	// Size is the sum of the sizes that may still be assigned. Fillers count with
+	// their full size.
+	Size carobrock.Capacity
+}
+
+// Holds reports whether n tasks of a size fit.
+func (r *Room) Holds(size carobrock.Capacity, n int) bool {
+	return holds(r.Size.MilliCPU, size.MilliCPU, n) && holds(r.Size.MemoryMB, size.MemoryMB, n) && holds(r.Size.Accelerators, size.Accelerators, n)
+}
+
+// holds divides, as the product of a size and a number of tasks may exceed 64 bits.
+func holds(room, size int64, n int) bool { return room >= 0 && (size == 0 || int64(n) <= room/size) }
+
+// hasRoomFor reports whether the account's limit admits n tasks of r.
+func (r *Request) hasRoomFor(n int) bool { return r.Room == nil || r.Room.Holds(r.Step.Size, n) }
+
 func (r *Request) taskRef(i int) carobrock.TaskRef {
 	return carobrock.TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.StepNumber, Index: r.Indices[i]}
 }
