Dispatcher: limits and shares of client accounts

A placement round passes the room of each account to the allocator and has the sharer order the requests. Runs that a worker lists although they are not recorded count as well. The limit is checked again as the last step before a start order, and unstarted runs beyond a lowered limit are withdrawn, newest first. Tasks that their limit holds back do not make the fillers of others wait for the next full round. No round walks all runs: usage is kept by the state machine, and only workers with unrecorded runs are looked at.

--- a/internal/bookkeeper/accounts.go
+++ b/internal/bookkeeper/accounts.go
@@ -138,3 +138,10 @@
 		}
 	}
 }
+
+// ForEachUsage calls fn for each account with runs, in no particular order.
+func (s *State) ForEachUsage(fn func(account string, u AccountUsage)) {
+	for account, u := range s.usage {
+		fn(account, *u)
+	}
+}
--- a/internal/dispatcher/capacity.go
+++ b/internal/dispatcher/capacity.go
@@ -22,6 +22,11 @@
 		}
 	}
 	w.unrecorded = unrecorded
+	if len(unrecorded) == 0 {
+		delete(w.withUnrecorded, w)
+	} else if w.withUnrecorded != nil {
+		w.withUnrecorded[w] = true
+	}
 }
 
 // findExcess returns the active runs that wait for their start on the worker and
--- a/internal/dispatcher/departure.go
+++ b/internal/dispatcher/departure.go
@@ -56,6 +56,8 @@
 // response. d.mu must be held.
 func (d *Dispatcher) removeWorker(w *worker) {
 	w.releaseResponse()
+	delete(w.withUnrecorded, w)
+	w.withUnrecorded = nil
 	if d.workers[w.report.Name] == w {
 		delete(d.workers, w.report.Name)
 		d.sorted = nil
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,6 +119,8 @@
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
 	// ID.
 	jobLoadEstimates map[string]map[*loadEstimate]bool
+	// accounts holds what is derived for the client accounts.
+	accounts accountTable
 }
 
 var _ carobrock.JobControl = (*Dispatcher)(nil)
@@ -144,6 +146,7 @@
 	d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 	d.adviceByStep = map[carobrock.TaskRef]*advice{}
 	d.adviceRequests = make(chan adviceRequest, maxAdviceRequests)
+	d.resetAccounts()
 	d.batcher.reset()
 	d.StateMachine.OnChange = d.notifyStateChange
 }
@@ -199,6 +202,7 @@
 		d.losses = map[carobrock.WorkerIncarnation]pendingLoss{}
 		d.directWorkers, d.suspectsSince, d.recentLosses = 0, nil, nil
 		d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
+		d.resetAccounts()
 		d.StateMachine.View(func(s *bookkeeper.State) {
 			d.model, d.baseline = pacer.Import(s.Interference)
 			d.inheritedLease = d.Settings.MaxLease
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -13,6 +13,7 @@
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/pacer"
+	"github.com/carobrock/carobrock/internal/ranker"
 )
 
 // CheckViews compares the views of all workers with views that are derived from
@@ -65,3 +66,39 @@
 	defer d.mu.Unlock()
 	d.rhythm.period, d.rhythm.meanLateness = p, highLateness
 }
+
+// CompareRequestsWithoutAccounts compares the requests of a placement round with those
+// that are derived in the simplest way: all waiting steps in the order of their urgency,
+// whole and without rooms. The configuration must not list client accounts, and no task
+// may be a suspect. It returns the number of requests.
+func (d *Dispatcher) CompareRequestsWithoutAccounts() (n int, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		now := time.Now()
+		var want []rankedRequest
+		for _, j := range s.Open {
+			for k, o := range j.Occurrences {
+				for i := range j.Spec.Steps {
+					if r, ok := newRequest(j, o, k, i, nil); ok {
+						r.MinPaceFraction = minPaceFraction
+						want = append(want, rankedRequest{Request: r, urgency: ranker.UrgencyOf(j, o, k, i, d.Now().UnixMilli())})
+					}
+				}
+			}
+		}
+		slices.SortStableFunc(want, func(a, b rankedRequest) int { return a.urgency.Compare(b.urgency) })
+		got := d.waitingRequests(s, d.newAccountRound(s), true, nil, d.candidateWorkers(s, now), now)
+		if n = len(got); n != len(want) {
+			err = fmt.Errorf("%d requests, want %d", n, len(want))
+			return
+		}
+		for i := range got {
+			if diff := cmp.Diff(want[i].Request, got[i], cmpopts.EquateComparable(carobrock.WorkerIncarnation{})); diff != "" {
+				err = fmt.Errorf("request %d of %d (-want +got):\n%s", i, n, diff)
+				return
+			}
+		}
+	})
+	return n, err
+}
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -75,6 +75,7 @@
 			d.endIncarnation(w, "worker was restarted")
 		}
 		w = newWorker()
+		w.withUnrecorded = d.accounts.withUnrecorded
 		// The worker may hold a lease from a lost response of this leader. Without an
 		// expiry time it would count as lost before its first response.
 		w.leaseExpiry = latestLeaseExpiry(now, d.Settings.Lease)
@@ -286,9 +287,12 @@
 }
 
 // isStartable reports whether a recorded run that the worker does not have may be
-// started on it. The view of the worker must be up to date and d.mu must be held.
+// started on it. It checks the limit of the client account again, as that may have been
+// lowered since the assignment. The view of the worker must be up to date and d.mu must
+// be held.
 func (d *Dispatcher) isStartable(s *bookkeeper.State, w *worker, run carobrock.Run) bool {
-	return d.mayStartRuns(s, w) && !w.withdrawalProposed[run] && !w.view.excess[run] && s.IsActive(w.report.WorkerIncarnation, run)
+	return d.mayStartRuns(s, w) && !w.withdrawalProposed[run] && !w.view.excess[run] && s.IsActive(w.report.WorkerIncarnation, run) &&
+		!d.exceedsLimit(s, s.Jobs[run.Task.Job])
 }
 
 // mayStartRuns reports whether the worker may start new runs: it is not leaving,
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -115,10 +115,12 @@
 			}
 		}
 		d.withdrawUnstartedRuns(s, now, c)
+		round := d.newAccountRound(s)
+		d.withdrawBeyondLimits(s, round, now, c)
 		d.releaseResponsesWithStops(s)
 		candidates := d.candidateWorkers(s, now)
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
-		requests := d.waitingRequests(s, isFull, ending, candidates, now)
+		requests := d.waitingRequests(s, round, isFull, ending, candidates, now)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
 			d.markIsolated(requests, c)
@@ -127,6 +129,7 @@
 				d.dropCandidate(c.Assign[i].Incarnation)
 			}
 		}
+		d.recordHeldBack(s, round, requests, c.Assign, isFull, now)
 		if isFull {
 			d.lastFullRound = now
 			d.forgetSilentWorkers(s, now)
@@ -214,21 +217,15 @@
 }
 
 // withdrawUnstartedRuns adds to c the runs that have certainly not reached
-// their worker and that the worker cannot or need not start any more. An earlier
-// leader may have sent a run in its response to a later heartbeat than the one that
-// this leader has received, so its runs are withdrawn only after its leases.
+// their worker and that the worker cannot or need not start any more.
 func (d *Dispatcher) withdrawUnstartedRuns(s *bookkeeper.State, now time.Time, c *carobrock.JobCommand) {
-	inheritedExpiry := d.inheritedLeaseExpiry()
 	for name, w := range d.workers {
-		v := w.updateView(s)
-		if len(v.unstarted) == 0 || d.isBeingLost(w.report.WorkerIncarnation) {
+		runs := d.withdrawableRuns(s, w, now)
+		if len(runs) == 0 {
 			continue
 		}
-		silent := w.isSilent(now)
-		for _, run := range v.unstarted {
-			if w.startsSent[run] || !w.assigned[run] && !now.After(inheritedExpiry) {
-				continue
-			}
+		v, silent := &w.view, w.isSilent(now)
+		for _, run := range runs {
 			if silent || !d.mayStartRuns(s, w) || !s.IsActive(w.report.WorkerIncarnation, run) || w.withdrawalProposed[run] || v.excess[run] {
 				w.withdrawalProposed[run] = true
 				d.Logger.Info().Str("worker", name).Str("job", run.Task.Job).Uint64("attempt", run.Attempt).Bool("silent", silent).Bool("exceedsCapacity", v.excess[run]).Msg("dispatcher: proposing to withdraw a run that its worker has not started")
@@ -238,6 +235,24 @@
 	}
 }
 
+// withdrawableRuns returns the runs that have certainly not reached a worker. An
+// earlier leader may have sent a run in its response to a later heartbeat than the one
+// that this leader has received, so its runs may be withdrawn only after its leases.
+// d.mu must be held.
+func (d *Dispatcher) withdrawableRuns(s *bookkeeper.State, w *worker, now time.Time) (out []carobrock.Run) {
+	v := w.updateView(s)
+	if len(v.unstarted) == 0 || d.isBeingLost(w.report.WorkerIncarnation) {
+		return nil
+	}
+	inheritedExpiry := d.inheritedLeaseExpiry()
+	for _, run := range v.unstarted {
+		if !w.startsSent[run] && (w.assigned[run] || now.After(inheritedExpiry)) {
+			out = append(out, run)
+		}
+	}
+	return out
+}
+
 // releaseResponsesWithStops releases the delayed responses to workers with runs
 // that are no longer active, so that stop orders are sent.
 func (d *Dispatcher) releaseResponsesWithStops(s *bookkeeper.State) {
@@ -251,8 +266,10 @@
 // waitingRequests returns the waiting tasks that are due, most urgent first, except
 // those in ending. Unless includeAll is set, fillers are left out if some were left over in the last
 // round that considered all: there are many of them, the loads of services change
-// slowly, and new jobs must not overtake those that wait.
-func (d *Dispatcher) waitingRequests(s *bookkeeper.State, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
+// slowly, and new jobs must not overtake those that wait. Left out as well are tasks
+// that do not fit in what the limit of their client account leaves. round is nil if
+// there are no accounts.
+func (d *Dispatcher) waitingRequests(s *bookkeeper.State, round *accountRound, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
 	var ranked []rankedRequest
 	endingJobs := map[string]bool{}
 	for task := range ending {
@@ -268,12 +285,22 @@
 		if !endingJobs[j.Spec.ID] {
 			endingTasks = nil
 		}
+		account := 0
+		if round != nil {
+			account = d.accountIndex(s, j.Spec.Account)
+		}
 		for k, o := range j.Occurrences {
 			if j.Spec.DueUnixMillis(k) > nowMillis {
 				break
 			}
 			for i := range j.Spec.Steps {
+				if round != nil && !includeAll && !round.mayPlace(account, &j.Spec.Steps[i]) {
+					continue
+				}
 				if r, ok := newRequest(j, o, k, i, endingTasks); ok {
+					if round != nil && !d.admitRequest(s, round, account, &r, now) {
+						continue
+					}
 					if r.Step.Filler && !includeAll && d.fillersWait {
 						continue
 					}
@@ -283,11 +310,11 @@
 					}
 					urgency := ranker.UrgencyOf(j, o, k, i, nowMillis)
 					if len(s.Suspects) == 0 {
-						ranked = append(ranked, rankedRequest{r, urgency})
+						ranked = append(ranked, rankedRequest{r, urgency, j})
 						continue
 					}
 					for _, part := range suspects.splitRequest(&r) {
-						ranked = append(ranked, rankedRequest{part, urgency})
+						ranked = append(ranked, rankedRequest{part, urgency, j})
 					}
 				}
 			}
@@ -299,6 +326,9 @@
 	slices.SortStableFunc(ranked, func(a, b rankedRequest) int {
 		return cmp.Or(compareIsolation(&a.Request, &b.Request), a.urgency.Compare(b.urgency))
 	})
+	if round != nil {
+		return d.shareRequests(s, round, ranked, candidates)
+	}
 	out := make([]allocator.Request, len(ranked))
 	for i := range ranked {
 		out[i] = ranked[i].Request
@@ -310,10 +340,11 @@
 type rankedRequest struct {
 	allocator.Request
 	urgency ranker.Urgency
+	job     *bookkeeper.Job
 }
 
 // hasUnplacedFillers reports whether some fillers of the requests are not among the
-// assignments.
+// assignments, except those that wait because of the limit of their account.
 func hasUnplacedFillers(requests []allocator.Request, assigned []carobrock.TaskAssignment) bool {
 	placed := map[string]int{}
 	for i := range assigned {
@@ -324,7 +355,7 @@
 		if !r.Step.Filler || r.IsSuspect {
 			continue
 		}
-		if placed[r.Job] -= len(r.Indices); placed[r.Job] < 0 {
+		if placed[r.Job] -= len(r.Indices) - r.HeldCount; placed[r.Job] < 0 {
 			return true
 		}
 	}
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -30,6 +30,9 @@
 	// are not recorded, nil for a run whose step is unknown. It is updated together
 	// with view.
 	unrecorded map[carobrock.Run]*carobrock.Step
+	// withUnrecorded holds the workers with elements in unrecorded, nil after the worker
+	// was removed.
+	withUnrecorded map[*worker]bool
 	// ended holds the runs that report lists as ended. Their ends may not be
 	// committed yet.
 	ended map[carobrock.Run]bool
