JobControl: a watch call responds before its caller's deadline

A gateway that must renew its confirmation more often than every 700 ms selects the poll by its deadline. WatchMarginMillis is the part of the time left for the response; with the usual timeout of one second the wait stays at 700 ms.

--- a/jobcontrol.go
+++ b/jobcontrol.go
@@ -28,7 +28,8 @@
 	Configuration(ctx context.Context) (*Configuration, error)
 	// WatchConfiguration waits until the configuration in force has a version
 	// greater than afterVersion and returns it without its Document. It returns
-	// nil if that does not happen within WatchTimeoutMillis.
+	// nil if that does not happen within WatchTimeoutMillis, or earlier so that the
+	// response is sent WatchMarginMillis before the deadline of ctx.
 	WatchConfiguration(ctx context.Context, afterVersion int64) (*Configuration, error)
 	// ZoneVersion returns the current version of an availability zone, at least 1.
 	ZoneVersion(ctx context.Context, zone string) (uint64, error)
@@ -78,3 +79,8 @@
 // configuration, in milliseconds. It is below the timeout of calls between
 // processes, one second.
 const WatchTimeoutMillis = 700
+
+// WatchMarginMillis is the part of the time until the caller's deadline that
+// WatchConfiguration leaves for the response, in milliseconds. A call with the usual
+// timeout of one second so waits for WatchTimeoutMillis.
+const WatchMarginMillis = 300
