Watch calls respond before their caller's deadline

A caller that needs a confirmation more often than every 700 ms could not ask for it: its call ended at its own deadline without a response. WatchConfiguration now returns 300 ms before the deadline of its caller, so that the deadline selects the poll. A call with the usual timeout of one second waits for 700 ms as before.

--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -95,7 +95,7 @@
 
 // WatchConfiguration implements carobrock.JobControl.
 func (d *Dispatcher) WatchConfiguration(ctx context.Context, afterVersion int64) (*carobrock.Configuration, error) {
-	timer := time.NewTimer(carobrock.WatchTimeoutMillis * time.Millisecond)
+	timer := time.NewTimer(watchTime(ctx))
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
@@ -120,6 +120,16 @@
 	}
 }
 
+// watchTime returns how long a watch call with the context ctx waits for a newer
+// configuration. It may be negative.
+func watchTime(ctx context.Context) time.Duration {
+	wait := carobrock.WatchTimeoutMillis * time.Millisecond
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)-carobrock.WatchMarginMillis*time.Millisecond)
+	}
+	return wait
+}
+
 // SetZone implements carobrock.JobControl.
 func (d *Dispatcher) SetZone(ctx context.Context, z carobrock.ZoneChange) error {
 	if err := z.Check(); err != nil {
