--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -117,9 +117,9 @@
 	return l.recruiter.LeaderAddress()
 }
 
-// uptime returns the time since boot, including the time that the machine was
+// Uptime returns the time since boot, including the time that the machine was
 // suspended.
-func uptime() time.Duration {
+func Uptime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic(err) // all supported Linux kernels have this clock
@@ -147,7 +147,7 @@
 	ms := &messenger.Messenger{Listener: peerListener, Logger: logger}
 	replica := &replicator.Replica{
 		Name: s.Name, Address: s.PeerAddress, InitialMembers: s.initialMembers(), StateMachine: stateMachine, Transport: ms, Logger: logger,
-		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery, Uptime: uptime,
+		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery, Uptime: Uptime,
 		Journal: &journaler.Journal{
 			Directory: &journaler.DiskDirectory{Path: s.DataDir}, Name: s.Name,
 			NewIncarnation: func() uint64 { return rand.Uint64() | 1 },
