Gateways check the keys of callers

A key is accepted only while the configuration was confirmed within the freshness limit, counted from the start of the watch call on a clock that includes suspended time. It is checked on arrival, before a call is forwarded, and before the result of a read is returned. Refusals are counted by cause; five a second of each are logged. A call on a public route is never refused for its key: with a stale configuration it is one without an account.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	if s.ServesCallers {
-		n.submitter = &submitter.Submitter{Control: control, Logger: n.log}
+		n.submitter = &submitter.Submitter{Control: control, KeyFreshness: s.KeyFreshness, Uptime: launcher.Uptime, Logger: n.log}
 		n.addEndpoint("callers", s.CallerAddress, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
 		n.addEndpoint("readiness", s.ReadyAddress, &platform.ReadinessHandler{IsReady: n.submitter.IsReady})
 	}
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -43,6 +43,11 @@
 	CallerAddress  string
 	ReadyAddress   string
 	ControlAddress string
+	// OperationsAddress is the address of the dump and the metrics. If empty, there is
+	// none.
+	OperationsAddress string
+	// KeyFreshness is submitter.Submitter.KeyFreshness.
+	KeyFreshness time.Duration
 	// Seeds are the peer addresses of some replicas.
 	Seeds []string
 	// DataDir is the replica's data directory. If empty, the process has no
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -23,8 +23,8 @@
 	callTimeout = time.Second
 	// responseMargin is the part of a caller's wait reserved for the response.
 	responseMargin = 100 * time.Millisecond
-	// watchTimeout bounds one watch call: carobrock.WatchTimeoutMillis and the
-	// time for a slow response.
+	// watchTimeout bounds one watch call that waits for maxPoll, with the time for a
+	// slow response.
 	watchTimeout = 2 * time.Second
 	// watchRetryDelay is the delay after a failed watch call.
 	watchRetryDelay = 50 * time.Millisecond
@@ -38,44 +38,83 @@
 	// StaleAfter is the time since the last confirmation by a leader after which the
 	// configuration counts as stale. Zero means DefaultStaleAfter.
 	StaleAfter time.Duration
+	// KeyFreshness is the time since the last confirmation by a leader after which
+	// calls that require a key are refused. A revoked key is refused within this time.
+	// Zero means DefaultKeyFreshness.
+	KeyFreshness time.Duration
+	// Uptime returns the time since the machine started, including time in which it
+	// was suspended, which time.Now does not count. Nil means that suspension is not
+	// detected.
+	Uptime func() time.Duration
 	// Logger receives log messages.
 	Logger zerolog.Logger
 
+	refusals refusals
+
 	mu          sync.Mutex
 	current     *carobrock.Configuration
-	confirmedAt time.Time
+	keys        *keyTable     // of current
+	confirmedAt time.Duration // on the clock now
 	draining    bool
 }
 
+// processStart is the origin of the clock now if there is no Uptime.
+var processStart = time.Now()
+
+// now returns the time on a clock that includes time in which the machine was
+// suspended, if Uptime is set.
+func (s *Submitter) now() time.Duration {
+	if s.Uptime == nil {
+		return time.Since(processStart)
+	}
+	return s.Uptime()
+}
+
 // Run keeps the configuration up to date until ctx ends.
 func (s *Submitter) Run(ctx context.Context) error {
+	timeout := s.watchTimeout()
 	for ctx.Err() == nil {
-		calledAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
+		s.refusals.logSuppressed(s.Logger)
+		calledAt := s.now()
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		c, err := s.Control.WatchConfiguration(callCtx, s.currentVersion())
 		cancel()
 		if err != nil {
 			s.Logger.Debug().Err(err).Msg("submitter: watch of the configuration failed")
+			// A large configuration may take longer than the timeout of a short poll on a
+			// slow link.
+			timeout = watchTimeout
 			_ = sleeper.Sleep(ctx, watchRetryDelay) // the loop checks ctx
 			continue
 		}
+		timeout = s.watchTimeout()
 		s.applyConfiguration(c, calledAt)
 	}
 	return nil
 }
 
+// watchTimeout returns the timeout of a watch call, which selects how long the leader
+// waits.
+func (s *Submitter) watchTimeout() time.Duration {
+	if poll := s.poll(); poll < maxPoll {
+		return poll + carobrock.WatchMarginMillis*time.Millisecond
+	}
+	return watchTimeout
+}
+
 // applyConfiguration applies the response to a watch call that was sent at calledAt. c
 // is nil if there is no newer configuration; a version that is not newer is ignored.
 // The response confirms the configuration as of calledAt, not as of its arrival.
-func (s *Submitter) applyConfiguration(c *carobrock.Configuration, calledAt time.Time) {
+func (s *Submitter) applyConfiguration(c *carobrock.Configuration, calledAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = calledAt
 	if c == nil || s.current != nil && c.Version <= s.current.Version {
 		return
 	}
-	s.current = c
-	s.Logger.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("submitter: configuration applied")
+	s.current, s.keys = c, newKeyTable(c)
+	s.Logger.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Bool("requiresKeys", c.RequiresKeys).Int("accounts", len(c.Accounts)).
+		Msg("submitter: configuration applied")
 }
 
 // currentVersion returns the version of the current configuration, -1 if there is
@@ -96,7 +135,13 @@
 	if staleAfter == 0 {
 		staleAfter = DefaultStaleAfter
 	}
-	return s.current != nil && time.Since(s.confirmedAt) < staleAfter
+	return s.confirmedWithin(staleAfter)
+}
+
+// confirmedWithin reports whether the configuration was confirmed less than limit ago.
+// The caller holds s.mu.
+func (s *Submitter) confirmedWithin(limit time.Duration) bool {
+	return s.current != nil && s.now()-s.confirmedAt < limit
 }
 
 // StartDraining makes IsReady return false from now on.
@@ -161,35 +206,61 @@
 	return context.WithTimeout(ctx, limit)
 }
 
-// SubmitJob submits a job to the leader, which stores it. It returns false if the ID
-// belongs to a job of another queue. It fails with carobrock.ErrNotApplied or
-// carobrock.ErrOutcomeUnknown.
-func (s *Submitter) SubmitJob(ctx context.Context, spec *carobrock.JobSpec, wait time.Duration) (bool, error) {
+// SubmitJob submits a job of caller to the leader, which stores it. It sets the client
+// account of spec. It returns false if the ID belongs to a job of another queue or
+// account. It fails with carobrock.ErrNotApplied, carobrock.ErrOutcomeUnknown or an
+// error of Authenticate, and then the call was not forwarded.
+func (s *Submitter) SubmitJob(ctx context.Context, caller Caller, spec *carobrock.JobSpec, wait time.Duration) (ok bool, err error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
+	if spec.Account, err = s.authorize(caller); err != nil {
+		return false, err
+	}
 	return s.Control.SubmitJob(ctx, spec)
 }
 
-// CancelJob has the leader cancel a job. It returns false if there is no such job.
-// Its errors are those of SubmitJob.
-func (s *Submitter) CancelJob(ctx context.Context, q carobrock.JobQuery, wait time.Duration) (bool, error) {
+// CancelJob has the leader cancel a job. It returns false if there is no such job, or
+// if it belongs to another account than the caller's. Its errors are those of
+// SubmitJob.
+func (s *Submitter) CancelJob(ctx context.Context, caller Caller, key carobrock.JobKey, wait time.Duration) (bool, error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
-	return s.Control.CancelJob(ctx, q)
+	account, err := s.authorize(caller)
+	if err != nil {
+		return false, err
+	}
+	return s.Control.CancelJob(ctx, carobrock.JobQuery{JobKey: key, Account: account})
 }
 
-// JobState returns a job's state, empty if there is no such job. Its errors are
-// those of SubmitJob.
-func (s *Submitter) JobState(ctx context.Context, q carobrock.JobQuery, wait time.Duration) (carobrock.JobState, error) {
+// JobState returns a job's state, empty if there is no such job or if it belongs to
+// another account than the caller's. Its errors are those of SubmitJob; those of
+// Authenticate may follow a call that was forwarded.
+func (s *Submitter) JobState(ctx context.Context, caller Caller, key carobrock.JobKey, wait time.Duration) (carobrock.JobState, error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
-	return s.Control.JobState(ctx, q)
+	account, err := s.authorize(caller)
+	if err != nil {
+		return "", err
+	}
+	state, err := s.Control.JobState(ctx, carobrock.JobQuery{JobKey: key, Account: account})
+	if err != nil {
+		return "", err
+	}
+	return state, s.reauthorize(caller, account)
 }
 
 // PendingJobs returns the number of jobs in a queue that have no started task. Its
-// errors are those of SubmitJob.
-func (s *Submitter) PendingJobs(ctx context.Context, queue string, wait time.Duration) (int, error) {
+// errors are those of JobState.
+func (s *Submitter) PendingJobs(ctx context.Context, caller Caller, wait time.Duration) (int, error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
-	return s.Control.PendingJobs(ctx, queue)
+	account, err := s.authorize(caller)
+	if err != nil {
+		return 0, err
+	}
+	n, err := s.Control.PendingJobs(ctx, caller.queue)
+	if err != nil {
+		return 0, err
+	}
+	return n, s.reauthorize(caller, account)
 }
--- a/internal/submitter/submitter_test.go
+++ b/internal/submitter/submitter_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"testing"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -26,12 +25,12 @@
 	if _, _, err := s.MatchQueue("h", "/a/1"); !errors.Is(err, ErrStale) {
 		t.Errorf("without a configuration: %v, want ErrStale", err)
 	}
-	s.applyConfiguration(newConfiguration(7, "/a/"), time.Now())
-	s.applyConfiguration(newConfiguration(6, "/a/", "/removed/"), time.Now())
+	s.applyConfiguration(newConfiguration(7, "/a/"), s.now())
+	s.applyConfiguration(newConfiguration(6, "/a/", "/removed/"), s.now())
 	if _, _, err := s.MatchQueue("h", "/removed/1"); !errors.Is(err, ErrNoQueue) {
 		t.Errorf("after an older configuration arrived late: %v, want ErrNoQueue", err)
 	}
-	s.applyConfiguration(nil, time.Now().Add(-2*DefaultStaleAfter))
+	s.applyConfiguration(nil, s.now()-2*DefaultStaleAfter)
 	if _, _, err := s.MatchQueue("h", "/removed/1"); !errors.Is(err, ErrStale) {
 		t.Errorf("with a stale configuration: %v, want ErrStale", err)
 	}
