Operations listener of a node

At the second port of port_range a node serves its dump and its metrics, with the status of the client accounts, the refused calls by cause and the age of its configuration. A node whose listener cannot be opened serves without it.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -93,6 +93,7 @@
 			return err
 		}
 	}
+	n.openOperations(control)
 	return nil
 }
 
--- /dev/null
+++ b/cmd/carobrock/operations.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/dumper"
+	"github.com/carobrock/carobrock/internal/launcher"
+)
+
+// accountsTimeout bounds the call to the leader for the client accounts. A dump is
+// most useful while there is no leader, and must not wait for one.
+const accountsTimeout = time.Second
+
+// nodeDump is the node's own section of the dump.
+type nodeDump struct {
+	Node             string `json:"node"`
+	AvailabilityZone string `json:"availabilityZone"`
+	Gateway          bool   `json:"gateway"`
+	Replica          bool   `json:"replica"`
+	Relay            bool   `json:"relay"`
+}
+
+// openOperations opens the operations listener, if one is configured. A node serves
+// without it if the address is not available.
+func (n *node) openOperations(control carobrock.JobControl) {
+	if n.settings.OperationsAddress == "" {
+		return
+	}
+	router := httprouter.New()
+	(&dumper.Dumper{Process: "node", Version: version, Started: time.Now(), Sections: n.dumpSections(control)}).RegisterRoutes(router)
+	e := &launcher.Endpoint{Name: "operations", Address: n.settings.OperationsAddress, Handler: router, Logger: n.log}
+	if err := e.Open(); err != nil {
+		n.log.Error().Err(err).Msg("node: no operations listener")
+		return
+	}
+	n.endpoints = append(n.endpoints, e)
+}
+
+// dumpSections returns the sections of the dump and publishes those that are metrics.
+func (n *node) dumpSections(control carobrock.JobControl) []dumper.Section {
+	accounts := func() any { return accountStates(control) }
+	publishMetric("accounts", accounts)
+	sections := []dumper.Section{
+		{Name: "node", State: func() any {
+			return nodeDump{
+				Node: n.settings.Node, AvailabilityZone: n.settings.AvailabilityZone,
+				Gateway: n.submitter != nil, Replica: n.replica != nil, Relay: n.relay != nil,
+			}
+		}},
+		{Name: "accounts", State: accounts},
+	}
+	if n.submitter == nil {
+		return sections
+	}
+	refusedCalls := func() any { return n.submitter.RefusedCalls() }
+	publishMetric("refusedCalls", refusedCalls)
+	return append(sections,
+		dumper.Section{Name: "configuration", State: func() any { return n.submitter.Status() }},
+		dumper.Section{Name: "refusedCalls", State: refusedCalls},
+	)
+}
+
+// accountStates returns the status of the client accounts, or the error of the call to
+// the leader in the field error.
+func accountStates(control carobrock.JobControl) any {
+	ctx, cancel := context.WithTimeout(context.Background(), accountsTimeout)
+	defer cancel()
+	out, err := control.Accounts(ctx)
+	if err != nil {
+		return map[string]string{"error": err.Error()}
+	}
+	return out
+}
+
+// publishMetric publishes a metric. If the process has already published that name, it
+// does nothing.
+func publishMetric(name string, value func() any) {
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, expvar.Func(value))
+	}
+}
