--- a/cmd/carobrock/keys_test.go
+++ b/cmd/carobrock/keys_test.go
@@ -31,9 +31,9 @@
 	return strings.Replace(c, `"routes":[`, `"routes":[{"name":"r2","host":"h.example","path_prefix":"`+publicQueuePath+`","timeout_ms":3000,"service":"pool","public":true},`, 1)
 }
 
-// startKeyNodes starts a node with a replica and one without, which requires keys, with
-// operations listeners. The caller must kill them.
-func startKeyNodes(t *testing.T) (leader, relay *testNode) {
+// newKeyNodes returns a node with a replica and one without, not started, with
+// operations listeners and testRevokeTime.
+func newKeyNodes(t *testing.T) (leader, relay *testNode) {
 	t.Helper()
 	ports := freePorts(t, 4)
 	ports[3] = freePortPair(t)
@@ -50,11 +50,19 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		n.start(t)
 	}
 	return leader, relay
 }
 
+// startKeyNodes starts the nodes of newKeyNodes. The caller must kill them.
+func startKeyNodes(t *testing.T) (leader, relay *testNode) {
+	t.Helper()
+	leader, relay = newKeyNodes(t)
+	leader.start(t)
+	relay.start(t)
+	return leader, relay
+}
+
 // nextPort returns the port after port.
 func nextPort(t *testing.T, port string) string {
 	t.Helper()
@@ -267,4 +275,30 @@
 			}
 		}
 	}
+	// The client of readOperations has an open connection.
+	if err := relay.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := relay.cmd.Wait(); err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+}
+
+// Guards against a node that does not serve because another process has the port of its
+// operations listener.
+func TestNodeServesWithoutOperationsListener(t *testing.T) {
+	leader, _ := newKeyNodes(t)
+	_, port, err := net.SplitHostPort(leader.peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", nextPort(t, port)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	leader.start(t)
+	defer leader.kill()
+	waitForStatus(t, http.MethodPut, "http://"+leader.control+"/v1/config", keysConfiguration(1, keptKey))
+	waitForKeyStatus(t, leader, keptKey, http.StatusOK)
 }
