--- a/internal/submitter/doc.go
+++ b/internal/submitter/doc.go
@@ -1,4 +1,5 @@
 // Package submitter forwards a gateway's requests on jobs to the leader. It keeps the
-// current configuration, finds the queue of each request and bounds the call to the
-// leader so that the caller gets a definite response before its deadline.
+// current configuration, finds the queue of each request, checks the key of its caller
+// and bounds the call to the leader so that the caller gets a definite response before
+// its deadline.
 package submitter
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -208,8 +208,8 @@
 
 // SubmitJob submits a job of caller to the leader, which stores it. It sets the client
 // account of spec. It returns false if the ID belongs to a job of another queue or
-// account. It fails with carobrock.ErrNotApplied, carobrock.ErrOutcomeUnknown or an
-// error of Authenticate, and then the call was not forwarded.
+// account. It fails with carobrock.ErrNotApplied or carobrock.ErrOutcomeUnknown, or like
+// Authenticate if the key is not valid any more. The call was then not forwarded.
 func (s *Submitter) SubmitJob(ctx context.Context, caller Caller, spec *carobrock.JobSpec, wait time.Duration) (ok bool, err error) {
 	ctx, cancel := withCallTimeout(ctx, wait)
 	defer cancel()
