--- a/internal/dispatcher/load_test.go
+++ b/internal/dispatcher/load_test.go
@@ -21,6 +21,10 @@
 // time of the leader.
 var loadSizes = flag.String("loadWorkers", "48", "numbers of workers for TestLoad, separated by commas")
 
+// loadAccounts is the number of client accounts in TestLoad. Each is limited to a
+// multiple of its part of the fleet.
+var loadAccounts = flag.Int("loadAccounts", 0, "number of client accounts in TestLoad")
+
 const (
 	loadWarmup   = 5 * time.Second
 	loadDuration = 10 * time.Second
@@ -131,11 +135,24 @@
 		fleet[i] = v
 		group.Go(func() { v.run(ctx) })
 	}
+	if *loadAccounts > 0 {
+		// A limit of three times an account's part of the fleet holds back the largest.
+		limit := 3 * int64(workers) * 16000 / int64(*loadAccounts)
+		var accounts []carobrock.ClientAccount
+		for i := range *loadAccounts {
+			accounts = append(accounts, carobrock.ClientAccount{Name: fmt.Sprint("x", i), Weight: float64(1 + i%5), Limit: carobrock.Capacity{MilliCPU: limit}})
+		}
+		h.configureAccounts(2, accounts...)
+	}
 	submitted := 0
 	submit := func(kind string, step carobrock.Step) {
 		submitted++
 		id := fmt.Sprint(kind, submitted)
-		group.Go(func() { h.submitJob(id, step) })
+		account := ""
+		if *loadAccounts > 0 {
+			account = fmt.Sprint("x", rnd.IntN(*loadAccounts))
+		}
+		group.Go(func() { h.submitAccountJob(account, id, step) })
 	}
 	for range int(servicesPerWorker*float64(workers)) / servicesPerJob {
 		step := serviceStep()
