--- a/internal/sharer/replay_test.go
+++ b/internal/sharer/replay_test.go
@@ -184,7 +184,7 @@
 	}
 	r := newReplay(411, weights...)
 	rnd := rand.New(rand.NewPCG(2, 1))
-	r.arrivals = func(tick int) (out []step) {
+	r.arrivals = func(_ int) (out []step) {
 		for account := range weights {
 			// The smallest accounts send half of their share, all others twice theirs.
 			rate := 2 * weights[account] / total * 411 / 8
