--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -22,7 +22,7 @@
 		var requests []sharer.Request
 		var want []sharer.Part
 		for i := range rnd.IntN(50) {
-			requests = append(requests, sharer.Request{Size: size(rnd.Int64N(4000), rnd.Int64N(4000)), Count: 1 + rnd.IntN(40), Tier: sharer.Tier(rnd.IntN(4))})
+			requests = append(requests, sharer.Request{Size: size(rnd.Int64N(4000), rnd.Int64N(4000)), Count: 1 + rnd.IntN(40), Tier: sharer.Tier(rnd.IntN(int(sharer.Worthless)+1))})
 			want = append(want, sharer.Part{Request: i, Count: requests[i].Count})
 		}
 		if diff := cmp.Diff(want, sharer.Order(requests, nil, size(10000, 10000)), equateEmpty); diff != "" {
@@ -47,7 +47,7 @@
 		for i := range requests {
 			requests[i] = sharer.Request{
 				Account: rnd.IntN(len(accounts)), Size: size(rnd.Int64N(3)*500, rnd.Int64N(3)*500), Count: 1 + rnd.IntN(200),
-				IsGang: rnd.IntN(4) == 0, Tier: sharer.Tier(rnd.IntN(4)),
+				IsGang: rnd.IntN(4) == 0, Tier: sharer.Tier(rnd.IntN(int(sharer.Worthless)+1)),
 			}
 		}
 		total := []carobrock.Capacity{{}, size(16_000, 0), size(16_000, 64_000)}[rnd.IntN(3)]
