Allocator: count tasks beyond a limit also on full workers

A request of a class that is known to be unplaceable was skipped before its room was looked at, so operators saw too few tasks that wait because of a limit.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -31,11 +31,11 @@
 			break
 		}
 		requests[i].HeldCount = 0
-		if isKnownUnplaceable(unplaceable, &requests[i]) {
+		if !requests[i].hasRoomFor(requests[i].minCount()) {
+			requests[i].HeldCount = len(requests[i].Indices)
 			continue
 		}
-		if (requests[i].IsIsolated || requests[i].Step.Gang) && !requests[i].hasRoomFor(len(requests[i].Indices)) {
-			requests[i].HeldCount = len(requests[i].Indices)
+		if isKnownUnplaceable(unplaceable, &requests[i]) {
 			continue
 		}
 		if requests[i].IsIsolated {
@@ -93,10 +93,6 @@
 // A worker's score changes only when it is assigned a task, so only that score is
 // computed again.
 func (a *Allocator) placeIndividually(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
-	if !r.hasRoomFor(1) {
-		r.HeldCount = len(r.Indices)
-		return nil
-	}
 	var out []carobrock.TaskAssignment
 	scores := make([]float64, len(workers))
 	for i, w := range workers {
--- a/internal/allocator/room_test.go
+++ b/internal/allocator/room_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// Guards against tasks that do not count as held back by the limit of their account
+// because the workers are full as well.
+func TestTasksBeyondTheRoomCountAsHeldBackOnFullWorkers(t *testing.T) {
+	first, limited := newRequest(9, carobrock.Step{Size: capacity(1000, 100)}), newRequest(3, carobrock.Step{Size: capacity(1000, 100)})
+	limited.Room = roomOf(0, 1000)
+	requests := []allocator.Request{first, limited}
+	a := &allocator.Allocator{Model: &pacer.Model{}}
+	if n := len(a.Place(requests, []*allocator.Worker{newWorker("a", "r1", 4)}, 100)); n != 4 || requests[1].HeldCount != 3 {
+		t.Errorf("%d assignments and %d tasks held back, want 4 and 3", n, requests[1].HeldCount)
+	}
+}
+
 // Guards against tasks of other accounts that wait because an equal or smaller request
 // was held back by the limit of its account.
 func TestLimitOfOneAccountDoesNotBlockOthers(t *testing.T) {
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -101,6 +101,14 @@
 // holds divides, as the product of a size and a number of tasks may exceed 64 bits.
 func holds(room, size int64, n int) bool { return room >= 0 && (size == 0 || int64(n) <= room/size) }
 
+// minCount returns the smallest number of tasks of r that can be assigned.
+func (r *Request) minCount() int {
+	if r.Step.Gang || r.IsIsolated {
+		return len(r.Indices)
+	}
+	return 1
+}
+
 // hasRoomFor reports whether the account's limit admits n tasks of r.
 func (r *Request) hasRoomFor(n int) bool { return r.Room == nil || r.Room.Holds(r.Step.Size, n) }
 
--- a/internal/dispatcher/limits_test.go
+++ b/internal/dispatcher/limits_test.go
@@ -24,12 +24,12 @@
 	// silentUntil is when each worker sends heartbeats again, leasedAt when it sent the
 	// last one whose response renewed its leases.
 	silentUntil, leasedAt []time.Time
-	limits               map[string]int64
-	version              int64
-	term                 uint64
-	jobs                 int
-	cores                map[string]int64 // of a task, by job
-	starts               int
+	limits                map[string]int64
+	version               int64
+	term                  uint64
+	jobs                  int
+	cores                 map[string]int64 // of a task, by job
+	starts                int
 }
 
 // Guards against a start that takes an account over its limit. A run counts from its
