--- a/interfaces.go
+++ b/interfaces.go
@@ -14,12 +14,26 @@
 	Open() (*JournalState, error)
 	// Append makes hs and entries durable before it returns. An entry replaces
 	// all earlier entries with the same or a higher index. A nil hs leaves the
-	// stored hard state unchanged. After an error the journal must not be used
-	// again.
+	// stored hard state unchanged. After an error that reports a lack of space the
+	// journal must be reopened, after another error it must not be used again.
 	Append(hs *encoder.HardState, entries []*encoder.Entry) error
 	// SaveSnapshot makes s durable and discards the entries up to its index. It
 	// writes hs and the entries in keep as the state that follows the snapshot.
+	// After an error that reports a lack of space the journal holds what it held
+	// before, also if s is not the newest state of the replica any more; it either
+	// can still be used or fails again at the next call. After another error it
+	// must not be used again.
 	SaveSnapshot(s *encoder.Snapshot, hs *encoder.HardState, keep []*encoder.Entry) error
+	// IsSnapshotDue reports whether a snapshot has to be taken soon because of the
+	// size of the files.
+	IsSnapshotDue() bool
+	// Reopen reads the state again after an error that reports a lack of space, also
+	// one of Open or of an earlier Reopen. The state is that of the last successful
+	// call; nothing of the write that failed is kept.
+	Reopen() (*JournalState, error)
+	// Probe reports whether the journal can write again. It is called after Reopen.
+	// After a successful call the journal can be used as after Open.
+	Probe() error
 	// Close closes the files of the journal.
 	Close() error
 }
@@ -91,6 +105,9 @@
 	Name string `json:"name"`
 	// Role is a state of the state chart charts/replica.yaml.
 	Role string `json:"role"`
+	// DiskFull is set while the replica takes no part in the group because it cannot
+	// write for lack of space.
+	DiskFull bool `json:"diskFull,omitempty"`
 	// Term is the current term.
 	Term uint64 `json:"term"`
 	// Leader is the ID of the leader of Term, or zero if it is unknown.
--- a/internal/journaler/folder.go
+++ b/internal/journaler/folder.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"io/fs"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -12,6 +13,8 @@
 // File is a file of the data directory that is open for appending.
 type File interface {
 	io.Writer
+	// WriteAt overwrites a part of the file.
+	io.WriterAt
 	io.Closer
 	// Sync returns when everything written is durable.
 	Sync() error
@@ -27,13 +30,16 @@
 	// error matches fs.ErrNotExist.
 	ReadFile(name string) ([]byte, error)
 	// WriteFile atomically replaces a file and returns when the new content is
-	// durable.
+	// durable. After an error the file has the old or the new content, and no part
+	// of a temporary file remains.
 	WriteFile(name string, data []byte) error
 	// OpenAppend truncates a file to size bytes, creating it if necessary, and
 	// opens it for appending. The name of a new file is durable when it returns.
 	OpenAppend(name string, size int64) (File, error)
 	// Sync returns when the names of all files are durable.
 	Sync() error
+	// Probe writes size bytes to a temporary file, syncs and removes it.
+	Probe(size int) error
 	// Close releases the lock.
 	Close() error
 }
@@ -51,6 +57,8 @@
 
 const (
 	lockFileName  = "lock"
+	probeFileName = "probe"
+	tempSuffix    = ".tmp"
 	directoryMode = 0o750
 	fileMode      = 0o640
 )
@@ -69,6 +77,16 @@
 		return errors.Join(errDirectoryLocked, f.Close())
 	}
 	d.lockFile = f
+	return d.removeTempFiles()
+}
+
+// removeTempFiles removes the temporary files of a killed process.
+func (d *DiskDirectory) removeTempFiles() error {
+	for _, name := range []string{identityFileName, logFileName, snapshotFileName, probeFileName} {
+		if err := removeIfExists(filepath.Join(d.Path, name+tempSuffix)); err != nil {
+			return errors.Join(err, d.Close())
+		}
+	}
 	return nil
 }
 
@@ -81,16 +99,32 @@
 // it to the target name and syncs the directory.
 func (d *DiskDirectory) WriteFile(name string, data []byte) error {
 	path := filepath.Join(d.Path, name)
-	tmp := path + ".tmp"
+	tmp := path + tempSuffix
 	if err := writeAndSync(tmp, data); err != nil {
-		return err
+		return errors.Join(err, removeIfExists(tmp))
 	}
 	if err := os.Rename(tmp, path); err != nil {
-		return err
+		return errors.Join(err, removeIfExists(tmp))
 	}
 	return d.Sync()
 }
 
+func removeIfExists(path string) error {
+	if err := os.Remove(path); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// Probe implements Directory. The data is random, as a file system that compresses
+// would need no space for zeros.
+func (d *DiskDirectory) Probe(size int) error {
+	data := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(data) // never fails
+	path := filepath.Join(d.Path, probeFileName+tempSuffix)
+	return errors.Join(writeAndSync(path, data), removeIfExists(path))
+}
+
 func writeAndSync(path string, data []byte) error {
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
 	if err != nil {
--- a/internal/replicator/disk_test.go
+++ b/internal/replicator/disk_test.go
@@ -6,8 +6,10 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/journaler"
 )
 
@@ -24,6 +26,24 @@
 	durableNames map[string]*memoryFile
 	crashed      bool  // the process that uses the directory has ended
 	syncError    error // if not nil, every sync fails
+	// capacity limits the size of all files in bytes if it is not negative. A write
+	// that does not fit is made in part and fails, or, if failsAtSync is set, succeeds
+	// and the sync fails; the changes are then visible and not durable, and the next
+	// sync does not write them.
+	capacity    int
+	failsAtSync bool
+	// fullFor is the name of a file that cannot be replaced for lack of space; probes
+	// fail then, too. Empty: none.
+	fullFor string
+	// failedRename is the name of the file whose next replacement fails for lack of
+	// space after the rename. Later syncs of the directory do not make this rename
+	// durable; lostRename is the file. Empty: none.
+	failedRename string
+	lostRename   *memoryFile
+	// isInstant makes syncs take no time.
+	isInstant bool
+	// fullFailures counts the operations that failed for lack of space.
+	fullFailures int
 }
 
 // memoryFile is the content of a file.
@@ -37,6 +57,9 @@
 type memoryWrite struct {
 	offset int
 	data   []byte
+	// isOverwrite is set if the file had data at all offsets. The old data remains
+	// where the write is lost.
+	isOverwrite bool
 }
 
 // memoryHandle is a file that is open for appending.
@@ -49,7 +72,80 @@
 var _ journaler.Directory = (*memoryDirectory)(nil)
 
 func newMemoryDirectory() *memoryDirectory {
-	return &memoryDirectory{names: map[string]*memoryFile{}, durableNames: map[string]*memoryFile{}}
+	return &memoryDirectory{names: map[string]*memoryFile{}, durableNames: map[string]*memoryFile{}, capacity: -1}
+}
+
+// setFree leaves the given number of bytes free. If it is negative, the space is not
+// limited.
+func (m *memoryDirectory) setFree(bytes int, failsAtSync bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failsAtSync = failsAtSync
+	m.capacity = -1
+	if bytes >= 0 {
+		m.capacity = m.used() + bytes
+	}
+}
+
+// used returns the size of all files.
+func (m *memoryDirectory) used() (n int) {
+	for _, f := range m.names {
+		n += len(f.data)
+	}
+	return n
+}
+
+// free returns the number of bytes that can be written.
+func (m *memoryDirectory) free() int {
+	if m.capacity < 0 {
+		return 1 << 30
+	}
+	return max(0, m.capacity-m.used())
+}
+
+func (m *memoryDirectory) failFull() error {
+	m.fullFailures++
+	return syscall.ENOSPC
+}
+
+// countFullFailures returns the number of operations that failed for lack of space.
+func (m *memoryDirectory) countFullFailures() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fullFailures
+}
+
+// setFullFor sets the name of the file that cannot be replaced.
+func (m *memoryDirectory) setFullFor(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fullFor = name
+}
+
+// durableState returns what a replica reads after a power loss that loses everything
+// that is not durable.
+func (m *memoryDirectory) durableState(name string) (*carobrock.JournalState, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	durable := newMemoryDirectory()
+	durable.isInstant = true
+	for file, f := range m.durableNames {
+		durable.names[file] = &memoryFile{data: f.durable, durable: f.durable}
+	}
+	j := &journaler.Journal{Directory: durable, Name: name, NewIncarnation: func() uint64 { return 1 }}
+	return j.Open()
+}
+
+// Probe implements journaler.Directory.
+func (m *memoryDirectory) Probe(size int) error {
+	fits := false
+	if err := m.waitSynced(func() { fits = size <= m.free() && m.fullFor == "" }); err != nil {
+		return err
+	}
+	if !fits {
+		return syscall.ENOSPC
+	}
+	return nil
 }
 
 // Lock implements journaler.Directory. It begins the use by a new process.
@@ -75,7 +171,9 @@
 // waitSynced takes the time of a sync and calls finish if the process still runs
 // and the disk works.
 func (m *memoryDirectory) waitSynced(finish func()) error {
-	time.Sleep(syncDuration)
+	if !m.isInstant {
+		time.Sleep(syncDuration)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
@@ -90,15 +188,43 @@
 
 func (m *memoryDirectory) WriteFile(name string, data []byte) error {
 	f := &memoryFile{data: slices.Clone(data), durable: slices.Clone(data)}
-	if err := m.waitSynced(func() { m.names[name] = f }); err != nil {
+	fits := true
+	if err := m.waitSynced(func() {
+		// The old file exists until the new one is complete.
+		if fits = len(data) <= m.free() && m.fullFor != name; fits {
+			m.names[name] = f
+		} else {
+			m.fullFailures++
+		}
+	}); err != nil {
+		return err
+	}
+	if !fits {
+		return syscall.ENOSPC
+	}
+	m.mu.Lock()
+	lost := m.failedRename == name
+	if lost {
+		m.failedRename, m.lostRename = "", f
+	}
+	m.mu.Unlock()
+	if err := m.Sync(); err != nil || !lost {
 		return err
 	}
-	return m.Sync()
+	return syscall.ENOSPC
 }
 
 // Sync makes the names of all files durable.
 func (m *memoryDirectory) Sync() error {
-	return m.waitSynced(func() { m.durableNames = maps.Clone(m.names) })
+	return m.waitSynced(func() {
+		durable := maps.Clone(m.names)
+		for name, f := range durable {
+			if f == m.lostRename {
+				durable[name] = m.durableNames[name]
+			}
+		}
+		m.durableNames = durable
+	})
 }
 
 func (m *memoryDirectory) OpenAppend(name string, size int64) (journaler.File, error) {
@@ -146,17 +272,46 @@
 	if h.directory.crashed {
 		return 0, fs.ErrClosed
 	}
+	free := h.directory.free()
+	if len(p) > free && !h.directory.failsAtSync {
+		h.file.change(memoryWrite{offset: len(h.file.data), data: slices.Clone(p[:free])})
+		return free, h.directory.failFull()
+	}
 	h.file.change(memoryWrite{offset: len(h.file.data), data: slices.Clone(p)})
 	return len(p), nil
 }
 
+// WriteAt implements journaler.File for data that the file has.
+func (h *memoryHandle) WriteAt(p []byte, offset int64) (int, error) {
+	h.directory.mu.Lock()
+	defer h.directory.mu.Unlock()
+	if h.directory.crashed {
+		return 0, fs.ErrClosed
+	}
+	h.file.change(memoryWrite{offset: int(offset), data: slices.Clone(p), isOverwrite: true})
+	return len(p), nil
+}
+
 func (h *memoryHandle) Sync() error {
-	return h.directory.waitSynced(func() {
-		h.file.durable, h.file.unsynced = h.file.data, nil
+	full := false
+	err := h.directory.waitSynced(func() {
+		unsynced := h.file.unsynced
+		h.file.unsynced = nil
+		if full = h.directory.capacity >= 0 && h.directory.used() > h.directory.capacity; full {
+			h.directory.fullFailures++
+			return
+		}
+		for _, w := range unsynced {
+			h.file.durable = w.applyTo(h.file.durable)
+		}
 		if h.directory.durableNames[h.name] == nil {
 			h.directory.durableNames[h.name] = h.file
 		}
 	})
+	if err == nil && full {
+		return syscall.ENOSPC
+	}
+	return err
 }
 
 func (h *memoryHandle) Close() error { return nil }
@@ -208,7 +363,7 @@
 func (w memoryWrite) torn(rnd *rand.Rand) memoryWrite {
 	data := slices.Clone(w.data)
 	from := rnd.IntN(len(data))
-	if rnd.IntN(2) == 0 {
+	if w.isOverwrite || rnd.IntN(2) == 0 {
 		return memoryWrite{offset: w.offset, data: data[:from]}
 	}
 	clear(data[from : from+rnd.IntN(len(data)-from)+1])
