Replica: a full disk does not end it

Messages of a term that is not durable yet are held back until it is: a leader that is the only voter sent entries of such a term to its learners (TestOnlyVoterSendsNothingBeforeItsTermIsDurable: term 3, durable term 2).

Before, Run returned: TestFullFollowerReturns "replica b has ended", TestFullLeaderStepsDown, TestTwoOfThreeFull.

checkHistory takes the cluster and the injectors as arguments; its checks are as before.

--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -33,6 +33,8 @@
 	voters int
 	// relays holds the locators of the processes without a replica, by address.
 	relays map[string]*locator.Locator
+	// onSend is called for each message before it is sent. Nil: none.
+	onSend func(nd *node, m *encoder.Message)
 }
 
 // node is one replica with its disk.
@@ -50,6 +52,8 @@
 	availabilityZone string
 	// seeds are the seeds of the recruiter. Nil: the first three nodes.
 	seeds []string
+	// logger receives the log lines of the replica. The zero value drops them.
+	logger zerolog.Logger
 
 	replica   *replicator.Replica
 	keeper    *keeper.Keeper
@@ -108,7 +112,7 @@
 	r := &replicator.Replica{
 		Name: nd.name, Address: nd.address, InitialMembers: nd.initial, StateMachine: k, Transport: (*transport)(nd),
 		Journal:         &journaler.Journal{Directory: nd.directory, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }},
-		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Uptime: nd.uptime, Logger: zerolog.Nop(),
+		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Uptime: nd.uptime, Logger: nd.logger,
 	}
 	if err := r.Prepare(); err != nil {
 		nd.cluster.t.Errorf("starting replica %s: %v", nd.name, err)
@@ -209,6 +213,13 @@
 	c.lossRate = rate
 }
 
+// setOnSend sets the function that is called for each message before it is sent.
+func (c *cluster) setOnSend(f func(nd *node, m *encoder.Message)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onSend = f
+}
+
 // transport sends a node's messages to the other nodes.
 type transport node
 
@@ -217,8 +228,11 @@
 	nd := (*node)(l)
 	c := nd.cluster
 	c.mu.Lock()
-	paused := nd.paused
+	paused, onSend := nd.paused, c.onSend
 	c.mu.Unlock()
+	if onSend != nil {
+		onSend(nd, m)
+	}
 	if paused != nil {
 		<-paused
 	}
--- a/internal/replicator/history_test.go
+++ b/internal/replicator/history_test.go
@@ -237,13 +237,13 @@
 func TestHistoryIsLinearizable(t *testing.T) {
 	for seed := uint64(1); seed <= 24; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkHistory(t, seed) })
+			synctest.Test(t, func(t *testing.T) { checkHistory(t, seed, newCluster(t, seed, 3+2*int(seed%2)), injectFaults) })
 		})
 	}
 }
 
-func checkHistory(t *testing.T, seed uint64) {
-	c := newCluster(t, seed, 3+2*int(seed%2))
+// checkHistory runs the operators against c while each of the injectors runs.
+func checkHistory(t *testing.T, seed uint64, c *cluster, injectors ...func(c *cluster, rnd *rand.Rand, stop <-chan struct{})) {
 	c.setLossRate(0.02)
 	c.waitForLeader()
 	start := time.Now()
@@ -255,11 +255,13 @@
 		clients.Go(func() { o.runOperations(start) })
 	}
 	stop := make(chan struct{})
-	injector := conc.NewWaitGroup()
-	injector.Go(func() { injectFaults(c, rand.New(rand.NewPCG(seed, 99)), stop) })
+	running := conc.NewWaitGroup()
+	for i, inject := range injectors {
+		running.Go(func() { inject(c, rand.New(rand.NewPCG(seed, 99+uint64(i))), stop) })
+	}
 	clients.Wait()
 	close(stop)
-	injector.Wait()
+	running.Wait()
 	var ops []porcupine.Operation
 	withKnownResult := 0
 	for _, o := range operatorClients {
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -2,24 +2,36 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/journaler"
 )
 
 // Run runs the replica until ctx is done, or until the journal or the state
 // machine fails, and returns their error. Prepare must have succeeded. After a
 // failure of the journal the process must exit, because it no longer knows which
-// state is durable.
+// state is durable. A lack of space is not such a failure: the replica then takes
+// no part in the group until there is space.
 func (r *Replica) Run(ctx context.Context) error {
 	defer r.shutDown()
 	r.appliedNotifier.setApplied(r.appliedIndex)
 	ticker := time.NewTicker(r.HeartbeatInterval / 2)
 	defer ticker.Stop()
-	r.core.handleTick(r.now())
+	if r.fullError == nil {
+		r.core.handleTick(r.now())
+	}
 	for {
-		if err := r.processOutput(); err != nil {
+		err := r.fullError // of Prepare
+		if err == nil {
+			err = r.processOutput()
+		}
+		if errors.Is(err, journaler.ErrFull) {
+			err = r.waitForSpace(ctx, err)
+		}
+		if err != nil || ctx.Err() != nil {
 			return err
 		}
 		select {
@@ -129,13 +141,18 @@
 func (r *Replica) processOutput() error {
 	c := r.core
 	c.sendNewEntries(r.now())
-	r.sendMessages(c.immediateMessages)
-	c.immediateMessages = nil
+	if !c.hardStateChanged {
+		// Messages of a term that is not durable are not sent: if the term cannot be
+		// made durable, this replica may lead in it once more with other entries.
+		r.sendMessages(c.immediateMessages)
+		c.immediateMessages = nil
+	}
 	if err := r.persistState(); err != nil {
 		return err
 	}
+	r.sendMessages(c.immediateMessages)
 	r.sendMessages(c.deferredMessages)
-	c.deferredMessages = nil
+	c.immediateMessages, c.deferredMessages = nil, nil
 	r.applyCommitted()
 	r.completeReadIndexRequests()
 	if err := r.compactIfDue(); err != nil {
@@ -264,12 +281,21 @@
 	r.pendingReadIndexes = r.pendingReadIndexes[n:]
 }
 
-// compactIfDue takes a snapshot if SnapshotEvery entries or SnapshotBytes of data
-// have been applied since the last one, and discards the entries that it covers
-// except for TrailingEntries.
+// isSnapshotDue reports whether SnapshotEvery entries or SnapshotBytes of data have
+// been applied since the last snapshot, or the files need a snapshot.
+func (r *Replica) isSnapshotDue() bool {
+	if r.appliedIndex == r.snapshot.GetIndex() || r.now().Before(r.snapshotRetryAt) {
+		return false
+	}
+	return r.appliedIndex-r.snapshot.GetIndex() >= r.SnapshotEvery || r.appliedBytes >= r.SnapshotBytes || r.Journal.IsSnapshotDue()
+}
+
+// compactIfDue takes a snapshot if one is due, and discards the entries that it
+// covers except for TrailingEntries. If there is no space for the snapshot, it tries
+// again later: there may still be space for entries.
 func (r *Replica) compactIfDue() error {
 	c := r.core
-	if r.appliedIndex-r.snapshot.GetIndex() < r.SnapshotEvery && r.appliedBytes < r.SnapshotBytes {
+	if !r.isSnapshotDue() {
 		return nil
 	}
 	data, err := r.StateMachine.Snapshot()
@@ -278,10 +304,16 @@
 	}
 	s := &encoder.Snapshot{Index: r.appliedIndex, Term: r.appliedTerm, Members: c.membersAt(r.appliedIndex), Data: data}
 	remaining := c.log.entries[r.appliedIndex-c.log.baseIndex:]
-	if err := r.Journal.SaveSnapshot(s, r.hardState(), remaining); err != nil {
+	if err := r.Journal.SaveSnapshot(s, r.hardState(), remaining); errors.Is(err, journaler.ErrFull) {
+		if r.snapshotRetryAt.IsZero() {
+			r.Logger.Warn().Err(err).Int("bytes", len(data)).Msg("replica: no space for a snapshot")
+		}
+		r.snapshotRetryAt = r.now().Add(snapshotRetryInterval)
+		return nil
+	} else if err != nil {
 		return err
 	}
-	r.snapshot, r.appliedBytes = s, 0
+	r.snapshot, r.appliedBytes, r.snapshotRetryAt = s, 0, time.Time{}
 	if s.GetIndex() > c.log.baseIndex+r.TrailingEntries {
 		newBase := s.GetIndex() - r.TrailingEntries
 		c.baseMembers = c.membersAt(newBase)
@@ -300,7 +332,7 @@
 		r.leaseExpiry.Store(&end)
 	}
 	s := &carobrock.ReplicaStatus{
-		ID: c.self.GetId(), Name: r.Name, Role: string(c.role()), Term: c.term, Leader: c.leaderID,
+		ID: c.self.GetId(), Name: r.Name, Role: string(c.role()), DiskFull: r.fullError != nil, Term: c.term, Leader: c.leaderID,
 		Commit: c.commitIndex, Applied: r.appliedIndex, First: c.log.baseIndex + 1, Last: c.log.lastIndex(),
 	}
 	for _, m := range c.members.GetMembers() {
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/charter"
 	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/journaler"
 )
 
 // Errors of the package.
@@ -106,7 +108,14 @@
 	pendingProposals   map[uint64]*proposal
 	pendingReadIndexes []*readIndexRequest
 	snapshot           *encoder.Snapshot
-	loggedRole         role
+	// snapshotRetryAt is the time of the next attempt at a snapshot for which there
+	// was no space, zero if the last attempt succeeded.
+	snapshotRetryAt time.Time
+	// fullError is the journal's error while it cannot write for lack of space, nil
+	// otherwise. loaded is set if core holds the state of the journal.
+	fullError  error
+	loaded     bool
+	loggedRole role
 	// transferTerm is the term in which an attempt to transfer leadership began,
 	// zero if there was none or it was given up. In that term the replica rejects
 	// proposals.
@@ -147,32 +156,54 @@
 
 // Prepare opens the journal, restores the state machine and makes the replica
 // ready for messages. It returns the error of the journal or of the state machine;
-// Run must then not be called.
+// Run must then not be called. If the journal cannot be opened for lack of space,
+// Prepare succeeds, and Run opens the journal when there is space.
 func (r *Replica) Prepare() error {
 	r.setDefaults()
 	if r.Uptime != nil {
 		r.startTime, r.startUptime = time.Now(), r.Uptime()
 	}
 	state, err := r.Journal.Open()
+	if errors.Is(err, journaler.ErrFull) {
+		r.fullError = err
+		r.unloadState()
+		r.publishStatus()
+		return nil
+	}
 	if err != nil {
 		return err
 	}
-	self := &encoder.Member{Id: state.Incarnation, Name: r.Name, Address: r.Address}
-	c := &core{
-		self: self, electionTimeout: r.ElectionTimeout, heartbeatInterval: r.HeartbeatInterval, maxDrift: r.MaxDrift, rand: r.Rand,
-		term: state.HardState.GetTerm(), votedFor: state.HardState.GetVote(),
-		roleMachine:    charter.Machine{Chart: charter.MustLoad("replica.yaml"), State: string(roleFollower)},
-		initialMembers: r.InitialMembers, probeResponses: map[string]*encoder.Message{}, senderAddresses: map[uint64]string{}, baseMembers: &encoder.Members{},
+	if err := r.loadState(state); err != nil {
+		return err
 	}
+	r.publishStatus()
+	return nil
+}
+
+// errEntriesLost reports that the journal lacks entries that it had made durable.
+var errEntriesLost = eris.New("replicator: the journal lacks entries that are applied")
+
+// loadState sets the core to the state of the journal. The state machine is restored
+// only if it is behind the snapshot.
+func (r *Replica) loadState(state *carobrock.JournalState) error {
+	c := r.newCore(state.Incarnation)
+	c.term, c.votedFor = state.HardState.GetTerm(), state.HardState.GetVote()
 	if s := state.Snapshot; s != nil {
-		if err := r.StateMachine.Restore(s.GetIndex(), s.GetData()); err != nil {
-			return err
+		if s.GetIndex() > r.appliedIndex {
+			if err := r.StateMachine.Restore(s.GetIndex(), s.GetData()); err != nil {
+				return err
+			}
+			r.appliedIndex, r.appliedTerm, r.appliedBytes = s.GetIndex(), s.GetTerm(), 0
+			r.appliedNotifier.setApplied(r.appliedIndex)
 		}
 		c.log.resetTo(s.GetIndex(), s.GetTerm())
-		c.baseMembers, c.commitIndex = s.GetMembers(), s.GetIndex()
-		r.appliedIndex, r.appliedTerm, r.snapshot = s.GetIndex(), s.GetTerm(), s
+		c.baseMembers, r.snapshot = s.GetMembers(), s
 	}
 	c.log.entries = state.Entries
+	if c.log.lastIndex() < r.appliedIndex {
+		return errEntriesLost
+	}
+	c.commitIndex = r.appliedIndex
 	c.durableIndex = c.log.lastIndex()
 	c.reloadMembers()
 	if c.isFresh() && len(r.InitialMembers) > 0 {
@@ -185,11 +216,25 @@
 		c.lastLeaderContact = r.now()
 	}
 	c.resetElectionDeadline(r.now())
-	r.core = c
-	r.publishStatus()
+	r.core, r.loaded = c, true
 	return nil
 }
 
+// newCore returns the core of a follower without state. It knows the addresses that
+// the previous core knew.
+func (r *Replica) newCore(id uint64) *core {
+	c := &core{
+		self:            &encoder.Member{Id: id, Name: r.Name, Address: r.Address},
+		electionTimeout: r.ElectionTimeout, heartbeatInterval: r.HeartbeatInterval, maxDrift: r.MaxDrift, rand: r.Rand,
+		roleMachine:    charter.Machine{Chart: charter.MustLoad("replica.yaml"), State: string(roleFollower)},
+		initialMembers: r.InitialMembers, probeResponses: map[string]*encoder.Message{}, senderAddresses: map[uint64]string{}, baseMembers: &encoder.Members{},
+	}
+	if r.core != nil {
+		c.senderAddresses = r.core.senderAddresses
+	}
+	return c
+}
+
 func (r *Replica) setDefaults() {
 	if r.ElectionTimeout == 0 {
 		r.ElectionTimeout = time.Second
