--- a/internal/recruiter/recruiter.go
+++ b/internal/recruiter/recruiter.go
@@ -161,7 +161,8 @@
 }
 
 // Run periodically asks the leader to admit this replica while it is not a voter
-// or follows no leader, until ctx ends. A replica that was replaced while it was
+// or follows no leader, until ctx ends. It does not ask while the replica cannot write
+// for lack of space. A replica that was replaced while it was
 // unreachable still has the membership in which it is a voter.
 func (r *Recruiter) Run(ctx context.Context) error {
 	for tick := 0; sleeper.Sleep(ctx, joinInterval) == nil; tick++ {
@@ -176,6 +177,11 @@
 				r.announceLeader(ctx, &s)
 			}
 		}
+		if s.DiskFull {
+			// It could not vote, and its ID may not be known yet.
+			r.setConfirmedLeader("")
+			continue
+		}
 		if s.Role == "forming" || isVoter(&s) && s.Leader != 0 {
 			r.setConfirmedLeader("")
 			continue
