--- a/internal/replicator/recruited_test.go
+++ b/internal/replicator/recruited_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -234,3 +235,97 @@
 		})
 	}
 }
+
+// Guards against a voter with a full disk that stays a voter although a spare can take
+// its place, against the removal of more voters than the group bears, and against a
+// replica that does not take part again when it has space.
+func TestVoterWithFullDiskIsReplaced(t *testing.T) {
+	for _, leaderIsFull := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader=%v", leaderIsFull), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newRecruitedCluster(t, 8, 3)
+				defer c.stop()
+				full, spare := c.waitForLeader(), c.nodes[3]
+				if !leaderIsFull {
+					full = c.nodesExcept(full)[0]
+				}
+				full.directory.setFree(10, false)
+				commitRoute(t, c, 1)
+				time.Sleep(recruiter.DefaultSilentAfter + catchUpTime)
+				mustHaveVoters(t, c, c.nodesExcept(full))
+				// The replica with the full disk is no voter, so another may fail.
+				next := c.nodesExcept(full)[0]
+				next.directory.setFree(10, false)
+				route := commitRoute(t, c, 2)
+				time.Sleep(recruiter.DefaultSilentAfter + catchUpTime)
+				mustHaveVoters(t, c, c.nodesExcept(full)) // no spare has space
+				full.directory.setFree(-1, false)
+				time.Sleep(recruiter.DefaultSilentAfter + catchUpTime)
+				mustHaveVoters(t, c, c.nodesExcept(next))
+				mustTakePart(t, full, route)
+				if isDiskFull(spare) {
+					t.Error("the disk of the spare is not full")
+				}
+			})
+		})
+	}
+}
+
+// mustHaveVoters fails the test unless exactly the given nodes are voters and there are
+// no other members.
+func mustHaveVoters(t *testing.T, c *cluster, want []*node) {
+	t.Helper()
+	if n := len(c.waitForLeader().replica.Status().Members); n != len(want) {
+		t.Errorf("%d members, want %d", n, len(want))
+	}
+	for _, nd := range c.nodes {
+		if got := c.isVoter(nd); got != slices.Contains(want, nd) {
+			t.Errorf("replica %s is a voter: %v, want %v", nd.name, got, !got)
+		}
+	}
+}
+
+// Guards against the removal of voters while a majority of them has no space, and
+// against a replica that was full at its first start and joins under an ID of its own
+// making.
+func TestNoVoterIsRemovedWhileAMajorityIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRecruitedCluster(t, 9, 3)
+		defer c.stop()
+		spare := c.nodes[3]
+		spare.wipeDisk()
+		spare.directory.setFree(0, false)
+		spare.start()
+		for _, nd := range c.nodes[:2] {
+			nd.directory.setFree(10, false)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		for ctx.Err() == nil { // fills the disks
+			for _, nd := range c.nodes[:3] {
+				attempt, cancelAttempt := context.WithTimeout(ctx, time.Second)
+				_, _ = proposeTable(attempt, nd.replica, "row1", 1, "row1") // the outcome does not matter
+				cancelAttempt()
+				time.Sleep(20 * time.Millisecond)
+			}
+			for _, nd := range c.nodes[2:] {
+				for _, m := range nd.replica.Status().Members {
+					if m.ID == spare.replica.Status().ID {
+						t.Fatalf("replica %s has a member that never had an identity", nd.name)
+					}
+				}
+			}
+			if s := c.nodes[2].replica.Status(); len(s.Members) != 3 {
+				t.Fatalf("members: %+v", s.Members)
+			}
+		}
+		for _, nd := range c.nodes {
+			nd.directory.setFree(-1, false)
+		}
+		time.Sleep(catchUpTime)
+		mustHaveVoters(t, c, c.nodes[:3])
+		c.setIsolated(c.nodes[1], true)
+		time.Sleep(recruiter.DefaultSilentAfter + catchUpTime)
+		mustHaveVoters(t, c, c.nodesExcept(c.nodes[1]))
+	})
+}
