--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -418,7 +418,7 @@
 // If the state fills most of the disk, a snapshot is due for each sixteenth of the
 // disk, as otherwise each append would be followed by a snapshot.
 func isSnapshotDue(diskBytes, snapshotBytes, logBytes, grownBytes int64) bool {
-	if diskBytes == 0 || grownBytes < diskBytes/16 {
+	if diskBytes <= 0 || grownBytes < diskBytes/16 {
 		return false
 	}
 	return 2*(logBytes+snapshotBytes) >= diskBytes*3/4
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -56,6 +56,9 @@
 	// MemoryMB limits the memory of the process. Zero means no limit. The garbage
 	// collector's soft limit is three quarters of it.
 	MemoryMB int64
+	// DiskMB is the space for the data directory. Zero means unknown. The replica takes
+	// its snapshots early enough for log, snapshot and a new snapshot to fit.
+	DiskMB int64
 	// Retention is how long ended jobs are kept.
 	Retention time.Duration
 	// Advisor selects eligible workers for queues with an advisor policy. It is nil
@@ -136,7 +139,8 @@
 }
 
 // NewJobReplica opens the data directory and the peer listener of a replica. It
-// fails with ErrSettings.
+// fails with ErrSettings. If there is no space to open the data directory, the replica
+// is created and opens it when there is space.
 func NewJobReplica(s *NodeSettings, logger zerolog.Logger) (*JobReplica, error) {
 	peerListener, err := listen("peer address", s.PeerAddress)
 	if err != nil {
@@ -149,7 +153,7 @@
 		Name: s.Name, Address: s.PeerAddress, InitialMembers: s.initialMembers(), StateMachine: stateMachine, Transport: ms, Logger: logger,
 		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery, Uptime: uptime,
 		Journal: &journaler.Journal{
-			Directory: &journaler.DiskDirectory{Path: s.DataDir}, Name: s.Name,
+			Directory: &journaler.DiskDirectory{Path: s.DataDir}, Name: s.Name, DiskBytes: s.DiskMB << 20,
 			NewIncarnation: func() uint64 { return rand.Uint64() | 1 },
 		},
 	}
@@ -217,7 +221,8 @@
 // SetSeeds replaces the peer addresses at which the replica looks for the group.
 func (j *JobReplica) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
 
-// Run runs the replica until ctx ends or its disk fails.
+// Run runs the replica until ctx ends or its disk fails. While the disk is full, the
+// replica takes no part in the group, and Control forwards all calls to the leader.
 func (j *JobReplica) Run(ctx context.Context) error {
 	components := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
 	components.Go(j.messenger.Run)
