--- a/internal/journaler/full_test.go
+++ b/internal/journaler/full_test.go
@@ -351,3 +351,36 @@
 		t.Error("a snapshot is due after a snapshot")
 	}
 }
+
+// Guards against a replica on a small disk that never returns because the probe is
+// larger than what the disk ever has free.
+func TestProbeFitsOnASmallDisk(t *testing.T) {
+	for _, tt := range []struct {
+		diskBytes   int64
+		failedWrite int
+		want        int
+	}{
+		{0, 100, 1 << 20},
+		{1 << 30, 100, 1 << 20},
+		{1 << 20, 100, 64 << 10},
+		{1 << 20, 100 << 10, 100 << 10},
+		{0, 3 << 20, 3 << 20},
+	} {
+		d := &sizeRecorder{}
+		j := &Journal{Directory: d, DiskBytes: tt.diskBytes, failedWriteSize: tt.failedWrite}
+		if err := j.Probe(); err != nil || d.size != tt.want {
+			t.Errorf("disk of %d bytes, failed write of %d: probe of %d bytes, %v; want %d", tt.diskBytes, tt.failedWrite, d.size, err, tt.want)
+		}
+	}
+}
+
+// sizeRecorder records the size of a probe.
+type sizeRecorder struct {
+	DiskDirectory
+	size int
+}
+
+func (r *sizeRecorder) Probe(size int) error {
+	r.size = size
+	return nil
+}
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -36,10 +36,13 @@
 	logFileName      = "log"
 	snapshotFileName = "snapshot"
 
-	// minProbeSize is the minimum amount of data that Probe writes, in bytes. It is
-	// the size of the largest append message of a leader, so that a replica that has
-	// just returned does not fail at its first append.
+	// minProbeSize is the minimum amount of data that Probe writes, in bytes, unless
+	// the disk is small. It is the size of the largest append message of a leader, so
+	// that a replica that has just returned does not fail at its first append.
 	minProbeSize = 1 << 20
+	// minProbeShare is the inverse of the largest share of the disk that this minimum
+	// may be: a small disk may never have minProbeSize free.
+	minProbeShare = 16
 )
 
 // identity is the content of the identity file.
@@ -128,13 +131,20 @@
 	if errors.Is(j.failure, ErrDisk) {
 		return j.failure
 	}
-	if err := j.Directory.Probe(max(minProbeSize, j.failedWriteSize)); err != nil {
+	if err := j.Directory.Probe(max(j.minProbeSize(), j.failedWriteSize)); err != nil {
 		return diskError(err)
 	}
 	j.failure = nil
 	return nil
 }
 
+func (j *Journal) minProbeSize() int {
+	if j.DiskBytes <= 0 {
+		return minProbeSize
+	}
+	return int(min(minProbeSize, j.DiskBytes/minProbeShare))
+}
+
 // loadState reads the files. What it returns is durable: before it reads, it syncs
 // the directory, because a killed process may have renamed files without a sync.
 func (j *Journal) loadState() (*carobrock.JournalState, error) {
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -54,6 +54,8 @@
 	seeds []string
 	// logger receives the log lines of the replica. The zero value drops them.
 	logger zerolog.Logger
+	// diskBytes is the space that the journal knows of. Zero: unknown.
+	diskBytes int64
 
 	replica   *replicator.Replica
 	keeper    *keeper.Keeper
@@ -111,7 +113,7 @@
 	nd.cluster.mu.Unlock()
 	r := &replicator.Replica{
 		Name: nd.name, Address: nd.address, InitialMembers: nd.initial, StateMachine: k, Transport: (*transport)(nd),
-		Journal:         &journaler.Journal{Directory: nd.directory, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }},
+		Journal:         &journaler.Journal{Directory: nd.directory, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }, DiskBytes: nd.diskBytes},
 		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Uptime: nd.uptime, Logger: nd.logger,
 	}
 	if err := r.Prepare(); err != nil {
--- a/internal/replicator/disk_test.go
+++ b/internal/replicator/disk_test.go
@@ -95,6 +95,13 @@
 	return n
 }
 
+// size returns the size of all files.
+func (m *memoryDirectory) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used()
+}
+
 // free returns the number of bytes that can be written.
 func (m *memoryDirectory) free() int {
 	if m.capacity < 0 {
--- a/internal/replicator/fulldisk.go
+++ b/internal/replicator/fulldisk.go
@@ -10,7 +10,7 @@
 
 const (
 	// spaceProbeInterval is the interval at which a replica whose disk is full tries
-	// to write. A probe writes and syncs at least 1 MiB if there is space.
+	// to write. A probe usually writes and syncs 1 MiB if there is space.
 	spaceProbeInterval = time.Second
 	// snapshotRetryInterval is the time between two attempts at a snapshot for which
 	// there is no space. An attempt encodes the whole state.
--- a/internal/replicator/fulldisk_test.go
+++ b/internal/replicator/fulldisk_test.go
@@ -247,6 +247,44 @@
 	}
 }
 
+// Guards against a disk that the log fills before a snapshot is due by the number or
+// size of the entries.
+func TestSnapshotIsTakenWhileItFits(t *testing.T) {
+	for _, isKnown := range []bool{true, false} {
+		t.Run(fmt.Sprintf("sizeKnown=%v", isKnown), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 10, 3)
+				defer c.stop()
+				commitRoute(t, c, 0)
+				const diskBytes = 8 << 10
+				for _, nd := range c.nodes {
+					nd.kill()
+					if isKnown {
+						nd.diskBytes = diskBytes
+					}
+					nd.directory.setFree(diskBytes-nd.directory.size(), false)
+				}
+				for _, nd := range c.nodes {
+					nd.start()
+				}
+				for n := 1; n < 45; n++ { // a snapshot is due by number after 50
+					commitRoute(t, c, n)
+				}
+				time.Sleep(electionTimeout)
+				for _, nd := range c.nodes {
+					state, err := nd.directory.durableState(nd.name)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if taken := state.Snapshot.GetIndex() > 0; taken != isKnown || isDiskFull(nd) {
+						t.Errorf("replica %s: snapshot at index %d, disk of %d bytes with %d in use, full %v", nd.name, state.Snapshot.GetIndex(), diskBytes, nd.directory.size(), isDiskFull(nd))
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a replica that cannot install the leader's snapshot for lack of
 // space and ends, reports the snapshot's index to the leader or never installs it.
 func TestNoSpaceForSnapshotFromLeader(t *testing.T) {
