--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -234,5 +234,6 @@
 	components.Go(j.replica.Run)
 	components.Go(j.dispatcher.Run)
 	components.Go(j.recruiter.Run)
+	components.Go(j.runCollector)
 	return components.Wait()
 }
