Endpoint: limits of a listener; documents are scanned before they are parsed

A crowd of clients could make a process hold any number of connections, bodies and headers, and a parsed document of many short fields takes a hundred times its bytes.

internal/limiter derives limits for each listener from the memory and the descriptors of the VM. An endpoint counts bytes as they arrive, closes the connections that have been slow longest when a budget is exhausted, and refuses with 503 before reading what it has no room for. Bodies are read in parts and scanned without allocations; memory for decoding is reserved before parsing.

--- a/internal/launcher/endpoint.go
+++ b/internal/launcher/endpoint.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -14,12 +15,12 @@
 
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/limiter"
 )
 
 const (
-	// endpointIdleTimeout is how long a connection may be idle. It is long because
-	// callers keep connections open between requests.
-	endpointIdleTimeout = 60 * time.Second
 	// endpointStopTimeout is the time from the end of Run's context to the stop
 	// deadline if StartDraining was not called.
 	endpointStopTimeout = 2 * time.Second
@@ -52,6 +53,12 @@
 	Address string
 	// Handler serves the requests.
 	Handler http.Handler
+	// Limits bounds what clients may make the endpoint hold. If zero, it is that of the
+	// callers' listener of a VM whose size is unknown.
+	Limits limiter.Limits
+	// RequestLimits returns the limits that the configuration in force sets for clients;
+	// zero fields mean those of Limits. If nil, there are none.
+	RequestLimits func() carobrock.RequestLimits
 	// Logger receives log messages.
 	Logger zerolog.Logger
 
@@ -62,10 +69,15 @@
 	served         atomic.Int64 // responses since StartDraining
 	closedQuiet    atomic.Int64 // connections closed because they were quiet
 	unanswered     atomic.Int64 // requests cut at the stop deadline
+	budget         *limiter.Budget
+	decoder        *limiter.Decoder
+	requests       atomic.Int64 // in flight
+	refusals       refusals
 
 	mu           sync.Mutex
 	stopDeadline time.Time // zero until StartDraining or the end of Run's context
 	conns        map[*trackedConn]struct{}
+	sources      map[string]int // open connections by IP address
 }
 
 // Open starts to listen at the address. It fails with ErrSettings.
@@ -82,11 +94,19 @@
 func (e *Endpoint) prepare(l net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancelRequests = cancel
-	e.conns = map[*trackedConn]struct{}{}
+	e.conns, e.sources = map[*trackedConn]struct{}{}, map[string]int{}
+	if e.Limits.MaxConns == 0 {
+		e.Limits = limiter.Derive(0, 0).Callers
+	}
+	e.budget = limiter.NewBudget(e.Limits.HeldBytes)
+	e.decoder = limiter.NewDecoder(e.Limits.DecodeBytes, e.Limits.MaxDocumentBytes)
 	e.listener = &trackingListener{Listener: l, endpoint: e}
 	e.server = &http.Server{
-		Handler: http.HandlerFunc(e.serveHTTP), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: endpointIdleTimeout,
-		BaseContext: func(net.Listener) context.Context { return ctx }, ConnState: trackState,
+		Handler: http.HandlerFunc(e.serveHTTP), BaseContext: func(net.Listener) context.Context { return ctx }, ConnState: trackState,
+		// The connection enforces smaller limits, which change with the configuration.
+		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    log.New(io.Discard, "", 0), // it would log each malformed request
 	}
 }
 
@@ -97,13 +117,21 @@
 	if draining {
 		w.Header().Set("Connection", "close")
 	}
-	if r.Context().Err() == nil {
-		e.handle(w, r)
-	} else {
-		w.Header().Set("Retry-After", retryAfterSeconds)
-		w.WriteHeader(http.StatusServiceUnavailable)
+	body, end := e.startRequest(w, r)
+	defer end()
+	switch {
+	case r.Context().Err() != nil:
+		refuse(w)
+	case body.cause != causeNone:
+		e.refuseRequest(w, body)
+	default:
+		e.handle(w, r.WithContext(body.newContext(r.Context())))
 	}
-	discardBody(r)
+	body.held.Close()
+	if w.Header().Get("Retry-After") != "" {
+		body.startDiscarding()
+	}
+	discardBody(r, body)
 	if draining {
 		e.served.Add(1)
 	}
@@ -124,8 +152,8 @@
 // discardBody reads the rest of the body of r, before the response leaves. If the
 // connection were closed with unread bytes, it would be reset, which destroys the
 // response. The body of a request with Expect may never be sent.
-func discardBody(r *http.Request) {
-	if r.Header.Get("Expect") != "" {
+func discardBody(r *http.Request, body *meteredBody) {
+	if r.Header.Get("Expect") != "" || body.isOver() {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBytes)) // a broken connection takes no response either
@@ -144,16 +172,22 @@
 // response, at most until the stop deadline. Open must have been called.
 func (e *Endpoint) Run(ctx context.Context) error {
 	defer e.cancelRequests()
+	logCtx, stopLogging := context.WithCancel(ctx)
 	group := pool.New().WithErrors()
 	served := make(chan struct{})
 	group.Go(func() error {
 		defer close(served)
+		defer stopLogging()
 		err := e.server.Serve(e.listener)
 		if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return err
 	})
+	group.Go(func() error {
+		e.logRefusals(logCtx)
+		return nil
+	})
 	group.Go(func() error {
 		select {
 		case <-served:
@@ -219,21 +253,25 @@
 	}
 }
 
-// addConn adds an open connection.
-func (e *Endpoint) addConn(c *trackedConn) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.conns[c] = struct{}{}
-}
-
 // removeConn removes a connection that is being closed.
 func (e *Endpoint) removeConn(c *trackedConn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, ok := e.conns[c]; ok && c.isExpired() {
+	e.removeConnLocked(c)
+}
+
+// removeConnLocked is removeConn for a caller that holds e.mu.
+func (e *Endpoint) removeConnLocked(c *trackedConn) {
+	if _, ok := e.conns[c]; !ok {
+		return
+	}
+	if c.isExpired() {
 		e.closedQuiet.Add(1)
 	}
 	delete(e.conns, c)
+	if e.sources[c.source]--; e.sources[c.source] == 0 {
+		delete(e.sources, c.source)
+	}
 }
 
 var _ zerolog.LogObjectMarshaler = (*Endpoint)(nil)
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -56,6 +56,9 @@
 	// MemoryMB limits the memory of the process. Zero means no limit. The garbage
 	// collector's soft limit is three quarters of it.
 	MemoryMB int64
+	// MaxDescriptors is the number of descriptors that the process may have open. Zero
+	// means that it is not known.
+	MaxDescriptors int
 	// Retention is how long ended jobs are kept.
 	Retention time.Duration
 	// Advisor selects eligible workers for queues with an advisor policy. It is nil
--- a/internal/launcher/trackedconn.go
+++ b/internal/launcher/trackedconn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/carobrock/carobrock/internal/limiter"
 )
 
 // trackingListener accepts connections as trackedConns.
@@ -19,15 +21,18 @@
 	endpoint *Endpoint
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections above the limits.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.endpoint.addConn(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close() // nothing was sent on it
 	}
-	c := &trackedConn{Conn: conn, endpoint: l.endpoint, quietSince: time.Now()}
-	l.endpoint.addConn(c)
-	return c, nil
 }
 
 // trackedConn is a server's connection that knows whether it has received bytes of a
@@ -35,12 +40,17 @@
 type trackedConn struct {
 	net.Conn
 	endpoint *Endpoint
+	source   string // IP address of the client
+	holder   *limiter.Holder
 
 	mu         sync.Mutex
 	active     bool      // the server is serving a request
 	received   bool      // bytes have been read since the last response
 	expired    bool      // the read deadline has been set so that the server closes the connection
 	quietSince time.Time // start of the connection or its last response
+	header     headerMeter
+	transfer   transferMeter
+	idle       bool // the server waits for a further request
 }
 
 // trackState is the ConnState hook of a server of trackedConns.
@@ -51,7 +61,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active = state == http.StateActive
+	c.active, c.idle = state == http.StateActive, state == http.StateIdle
+	switch state {
+	case http.StateActive:
+		c.holder.StopWaiting()
+	case http.StateIdle:
+		c.header.reset(c.holder)
+	}
 }
 
 // hasRequest reports whether a request is being served or has been read in part.
@@ -61,6 +77,14 @@
 	return c.active || c.received
 }
 
+// isQuiet reports whether the connection is being closed because nothing has arrived on
+// it: it is expired or idle.
+func (c *trackedConn) isQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired || c.idle && !c.received
+}
+
 // isExpired reports whether the connection was expired and has received nothing since.
 func (c *trackedConn) isExpired() bool {
 	c.mu.Lock()
@@ -84,11 +108,14 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isQuiet() {
 		n, err = c.readAvailable(p)
 	}
 	if n > 0 {
 		c.markReceived()
+		if !c.meterHeader(p[:n], len(p) > 1) {
+			return 0, io.EOF // the server closes the connection
+		}
 	}
 	return n, err
 }
@@ -138,22 +165,51 @@
 }
 
 // SetReadDeadline implements net.Conn. The deadline of an expired connection stays.
+// Those of headers and idle connections are limited.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	limits := c.endpoint.requestLimits()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.expired {
 		return nil
 	}
+	if !c.active && !t.IsZero() {
+		limit := limits.headerTimeout
+		switch {
+		case c.idle && !c.received:
+			limit = limits.idleTimeout
+		case !c.received:
+			limit = max(limit, newConnTimeout)
+		}
+		if last := time.Now().Add(limit); t.After(last) {
+			t = last
+		}
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
 // Write implements net.Conn. Bytes that were read before belong to the request that is
 // being answered.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	now := time.Now()
 	c.mu.Lock()
-	c.received, c.quietSince = false, time.Now()
+	c.received, c.quietSince = false, now
+	deadline := c.transfer.startWrite(now, len(p), &c.endpoint.Limits)
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+		return 0, err
+	}
+	if c.holder.StartWaiting() {
+		defer c.holder.StopWaiting()
+	}
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.transfer.writing = time.Time{}
+	c.mu.Unlock()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.endpoint.refusals.add(causeSlowReader)
+	}
+	return n, err
 }
 
 // CloseWrite closes the sending direction if the connection supports that, which the
@@ -168,5 +224,6 @@
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.endpoint.removeConn(c)
+	c.holder.Close()
 	return c.Conn.Close()
 }
