Node: endpoints have the limits of the VM and of the configuration in force

Passes the limits that were derived from memory_mb and max_fds to the endpoints, reads jobs through the bounded decoder, and decodes `limits` of the configuration, which apply at the callers' listener.

Mends the crowds at the HTTP listeners.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/launcher"
+	"github.com/carobrock/carobrock/internal/limiter"
 	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/sleeper"
 	"github.com/carobrock/carobrock/internal/submitter"
@@ -76,17 +77,19 @@
 	if err != nil {
 		return err
 	}
+	limits := limiter.Derive(s.MemoryMB, s.MaxDescriptors)
 	if s.ServesCallers {
 		n.submitter = &submitter.Submitter{Control: control, Logger: n.log}
-		n.addEndpoint("callers", s.CallerAddress, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
-		n.addEndpoint("readiness", s.ReadyAddress, &platform.ReadinessHandler{IsReady: n.submitter.IsReady})
+		n.addEndpoint("callers", s.CallerAddress, limits.Callers, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
+		n.endpoints[0].RequestLimits = n.submitter.RequestLimits
+		n.addEndpoint("readiness", s.ReadyAddress, limits.Readiness, &platform.ReadinessHandler{IsReady: n.submitter.IsReady})
 	}
 	if s.ServesControl {
 		api := &platform.ControlAPI{JobControl: control, Address: s.ControlAddress, Logger: n.log}
 		if n.relay != nil {
 			api.LeaderHost = n.relay.LeaderHost
 		}
-		n.addEndpoint("control", s.ControlAddress, api.Handler())
+		n.addEndpoint("control", s.ControlAddress, limits.Control, api.Handler())
 	}
 	for _, e := range n.endpoints {
 		if err := e.Open(); err != nil {
@@ -114,8 +117,8 @@
 }
 
 // addEndpoint adds an HTTP endpoint to the node.
-func (n *node) addEndpoint(name, address string, h http.Handler) {
-	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h, Logger: n.log})
+func (n *node) addEndpoint(name, address string, limits limiter.Limits, h http.Handler) {
+	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h, Limits: limits, Logger: n.log})
 }
 
 const (
--- a/configuration.go
+++ b/configuration.go
@@ -24,6 +24,8 @@
 	RequiresKeys bool `cbor:"5,keyasint,omitempty"`
 	// Accounts lists the client accounts. Their names and their keys are unique.
 	Accounts []ClientAccount `cbor:"6,keyasint,omitempty"`
+	// Limits are those of callers' requests and connections.
+	Limits RequestLimits `cbor:"7,keyasint,omitzero"`
 }
 
 // ClientAccount is an account on whose behalf callers submit jobs.
