Messenger: bounds on incoming sessions, streams and frames

Any program that reached the peer port could open any number of sessions and streams, and each frame header took 256 KiB before its content arrived. Frames and bodies of calls that consist of many empty elements took a hundred times their bytes when they were decoded.

Memory is reserved for each frame of the session's protocol before yamux allocates it; frames are held in parts that grow with what has arrived, and are decoded when there is memory for what they contain. Sessions, streams and the time for a frame are limited. The oldest incomplete frames are given up first.

--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -19,6 +19,7 @@
 	"github.com/carobrock/carobrock/internal/dispatcher"
 	"github.com/carobrock/carobrock/internal/encoder"
 	"github.com/carobrock/carobrock/internal/journaler"
+	"github.com/carobrock/carobrock/internal/limiter"
 	"github.com/carobrock/carobrock/internal/locator"
 	"github.com/carobrock/carobrock/internal/messenger"
 	"github.com/carobrock/carobrock/internal/recruiter"
@@ -147,7 +148,7 @@
 	}
 	stateMachine := &bookkeeper.StateMachine{RetentionMillis: s.Retention.Milliseconds()}
 	stateMachine.Prepare()
-	ms := &messenger.Messenger{Listener: peerListener, Logger: logger}
+	ms := &messenger.Messenger{Listener: peerListener, Limits: limiter.Derive(s.MemoryMB, s.MaxDescriptors).Peers, Logger: logger}
 	replica := &replicator.Replica{
 		Name: s.Name, Address: s.PeerAddress, InitialMembers: s.initialMembers(), StateMachine: stateMachine, Transport: ms, Logger: logger,
 		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery, Uptime: uptime,
--- a/internal/launcher/relay.go
+++ b/internal/launcher/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/limiter"
 	"github.com/carobrock/carobrock/internal/locator"
 	"github.com/carobrock/carobrock/internal/messenger"
 	"github.com/carobrock/carobrock/internal/recruiter"
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ms := &messenger.Messenger{Listener: peerListener, Logger: logger}
+	ms := &messenger.Messenger{Listener: peerListener, Limits: limiter.Derive(s.MemoryMB, s.MaxDescriptors).Peers, Logger: logger}
 	leaderLocator := &locator.Locator{RPCClient: ms, Logger: logger}
 	leaderLocator.SetSeeds(s.Seeds)
 	self := &encoder.Member{Name: s.Name, Address: s.PeerAddress}
--- a/internal/limiter/budget.go
+++ b/internal/limiter/budget.go
@@ -168,6 +168,13 @@
 	}
 }
 
+// Bytes returns the number of bytes held.
+func (h *Holder) Bytes() int64 {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.bytes
+}
+
 // Release returns n of the bytes held.
 func (h *Holder) Release(n int64) {
 	h.budget.mu.Lock()
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -1,9 +1,8 @@
 package messenger
 
 import (
-	"bytes"
-	"cmp"
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -14,9 +13,13 @@
 // snapshots.
 const maxFrameBytes = 256 << 20
 
-// maxTrustedFrameBytes is the largest size for which memory is allocated before the
-// content of a frame has arrived. Another program may write to the same port.
-const maxTrustedFrameBytes = 256 << 10
+// Sizes of the parts in which a frame is held until it is complete. Only for one part is
+// memory allocated before its content has arrived: another program may write to the same
+// port.
+const (
+	firstPartBytes       = 4 << 10
+	maxTrustedFrameBytes = 256 << 10
+)
 
 // ErrFrameTooLarge reports that a frame to be sent or received exceeds the
 // maximum size.
@@ -39,18 +42,47 @@
 
 // readFrame reads one frame into m.
 func readFrame(r io.Reader, m proto.Message) error {
+	parts, size, err := readParts(r, maxFrameBytes)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(join(parts, size), m)
+}
+
+// readParts reads one frame of at most max bytes in parts. Memory for a part is
+// allocated when the previous one is full.
+func readParts(r io.Reader, max uint32) (parts [][]byte, size int, err error) {
 	var header [4]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
+		return nil, 0, err
 	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > maxFrameBytes {
-		return ErrFrameTooLarge
+	announced := binary.BigEndian.Uint32(header[:])
+	if announced > max {
+		return nil, 0, ErrFrameTooLarge
+	}
+	size = int(announced)
+	for rest, next := size, firstPartBytes; rest > 0; next = min(2*next, maxTrustedFrameBytes) {
+		part := make([]byte, min(rest, next))
+		if _, err := io.ReadFull(r, part); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, 0, err
+		}
+		parts, rest = append(parts, part), rest-len(part)
+	}
+	return parts, size, nil
+}
+
+// join returns the content of a frame of size bytes. It copies it only if it consists of
+// several parts.
+func join(parts [][]byte, size int) []byte {
+	if len(parts) == 1 {
+		return parts[0]
 	}
-	body := &bytes.Buffer{}
-	body.Grow(int(min(size, maxTrustedFrameBytes)) + bytes.MinRead)
-	if n, err := io.Copy(body, io.LimitReader(r, int64(size))); err != nil || n < int64(size) {
-		return cmp.Or(err, io.ErrUnexpectedEOF)
+	frame := make([]byte, 0, size)
+	for _, part := range parts {
+		frame = append(frame, part...)
 	}
-	return proto.Unmarshal(body.Bytes(), m)
+	return frame
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -17,6 +17,7 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
+	"github.com/carobrock/carobrock/internal/limiter"
 )
 
 // Errors returned by Messenger.Call.
@@ -72,6 +73,9 @@
 	// acknowledgement times out. If zero, it is 2 s.
 	PingTimeout time.Duration
 	Logger      zerolog.Logger
+	// Limits bounds what other processes may make this one hold. If zero, limits are
+	// used that allow for frames of the maximum size.
+	Limits limiter.PeerLimits
 	// Traffic counts the bytes of all connections.
 	Traffic Traffic
 
@@ -80,6 +84,7 @@
 	runCtx     context.Context //nolint:containedctx // context of Run; bounds the goroutines of group
 	group      *conc.WaitGroup
 	lastCallID uint64
+	intake     *intake
 }
 
 var (
@@ -101,6 +106,7 @@
 	if ms.PingTimeout == 0 {
 		ms.PingTimeout = 2 * time.Second
 	}
+	ms.intake = newIntake(ms.Limits)
 	ms.peers = map[string]*peer{}
 	ms.group = conc.NewWaitGroup()
 }
@@ -118,6 +124,7 @@
 	ms.mu.Unlock()
 	if ms.Listener != nil {
 		ms.group.Go(func() { ms.acceptConns(ctx) })
+		ms.group.Go(func() { ms.intake.logRefusals(ctx, ms.Logger) })
 	}
 	<-ctx.Done()
 	ms.closeAll()
@@ -149,7 +156,12 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		ms.group.Go(func() { ms.serveConn(ctx, conn) })
+		incoming := ms.intake.add(conn)
+		if incoming == nil {
+			_ = conn.Close() // nothing was sent on it
+			continue
+		}
+		ms.group.Go(func() { ms.serveConn(ctx, incoming) })
 	}
 }
 
@@ -164,33 +176,39 @@
 	cfg.KeepAliveInterval = ms.PingInterval
 	cfg.ConnectionWriteTimeout = ms.PingTimeout
 	cfg.StreamOpenTimeout = ms.PingTimeout
+	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
 }
 
 // serveConn serves the streams of one incoming connection until it is closed.
-func (ms *Messenger) serveConn(ctx context.Context, conn net.Conn) {
+func (ms *Messenger) serveConn(ctx context.Context, conn *incomingSession) {
 	session, err := yamux.Server(ms.Traffic.countConn(conn), ms.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
+	conn.setSession(session)
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	defer func() { _ = session.Close() }()
 	streams := conc.NewWaitGroup()
 	defer streams.Wait()
 	for {
-		stream, err := session.AcceptStream()
+		accepted, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		stream := conn.startStream(accepted)
+		if stream == nil {
+			return // the session is closed
+		}
 		streams.Go(func() { ms.serveStream(ctx, stream) })
 	}
 }
 
 // serveStream serves one incoming stream according to its kind.
-func (ms *Messenger) serveStream(ctx context.Context, stream net.Conn) {
+func (ms *Messenger) serveStream(ctx context.Context, stream *incomingStream) {
 	defer func() { _ = stream.Close() }()
 	var kind [1]byte
 	if _, err := io.ReadFull(stream, kind[:]); err != nil {
@@ -200,29 +218,34 @@
 	case streamCall:
 		ms.serveCall(ctx, stream)
 	case streamOneWay:
-		ms.serveOneWay(stream)
+		ms.serveOneWay(ctx, stream)
 	}
 }
 
 // serveOneWay passes the one-way messages of a stream to OnMessage.
-func (ms *Messenger) serveOneWay(stream net.Conn) {
+func (ms *Messenger) serveOneWay(ctx context.Context, stream *incomingStream) {
 	for {
 		m := &encoder.Message{}
-		if err := readFrame(stream, m); err != nil {
+		done, err := stream.decode(ctx, m, ms.intake.messages)
+		if err != nil {
 			return
 		}
 		if ms.OnMessage != nil {
 			ms.OnMessage(m)
 		}
+		stream.releaseFrame()
+		done()
 	}
 }
 
 // serveCall reads a call from its stream, executes it and writes the response.
-func (ms *Messenger) serveCall(ctx context.Context, stream net.Conn) {
+func (ms *Messenger) serveCall(ctx context.Context, stream *incomingStream) {
 	call := &encoder.Call{}
-	if err := readFrame(stream, call); err != nil {
+	done, err := stream.decode(ctx, call, ms.intake.calls)
+	if err != nil {
 		return
 	}
+	defer done()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetTimeoutMillis())*time.Millisecond)
 	defer cancel()
 	resp := &encoder.Answer{Id: call.GetId()}
