--- a/internal/launcher/intake.go
+++ b/internal/launcher/intake.go
@@ -107,7 +107,7 @@
 // after the handler.
 func (e *Endpoint) startRequest(w http.ResponseWriter, r *http.Request) (body *meteredBody, end func()) {
 	c, _ := r.Context().Value(connKey{}).(*trackedConn)
-	body = &meteredBody{ReadCloser: r.Body, conn: c, limit: e.requestLimits().bodyBytes}
+	body = &meteredBody{ReadCloser: r.Body, conn: c, limit: e.requestLimits().bodyBytes, header: w.Header()}
 	body.held = &limiter.Request{Holder: c.holder, Decoder: e.decoder, MaxBodyBytes: body.limit}
 	r.Body = body
 	inFlight := e.requests.Add(1)
@@ -122,7 +122,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	return body, func() {
-		body.stop()
+		if body.err == nil && r.ContentLength != 0 {
+			body.stop()
+		}
 		body.held.Close()
 		e.requests.Add(-1)
 	}
@@ -165,7 +167,8 @@
 	held  *limiter.Request
 	limit int64
 	// cause is why the request is refused.
-	cause cause
+	cause  cause
+	header http.Header // of the response
 
 	received     int64
 	start        time.Time // of the wait for the body
@@ -206,8 +209,11 @@
 		endpoint.refusals.add(causeSlowBody)
 	}
 	if err != nil {
-		b.stop()
 		b.err = err
+		b.stop()
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.header.Set("Connection", "close")
 	}
 	return n, err
 }
@@ -229,15 +235,20 @@
 	}
 }
 
-// stop ends the wait for the body.
+// stop ends the wait for the body. The server reads the rest of a body that is not at
+// its end, which must not last long either.
 func (b *meteredBody) stop() {
-	if b.start.IsZero() || b.err != nil {
+	deadline := time.Time{}
+	if !errors.Is(b.err, io.EOF) {
+		deadline = time.Now().Add(refusedBodyTime)
+	}
+	_ = b.conn.SetReadDeadline(deadline) // fails only if the connection is closed
+	if b.start.IsZero() {
 		return
 	}
 	b.start = time.Time{}
 	b.held.Holder.StopWaiting()
 	b.conn.setReading(time.Time{})
-	_ = b.conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 }
 
 // setReading records the start of the wait for a body, zero at its end.
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -131,8 +131,9 @@
 		l.MaxConnsPerSource = max(3, int(sourceShare*float64(l.MaxConns)))
 		l.MaxRequests = l.MaxConns
 	}
-	// A request of a caller that waits for the leader takes about 20 KB.
-	p.Callers.MaxRequests = min(p.Callers.MaxConns, int(memory>>20)*4)
+	// A request of a caller that waits for the leader is assumed to take 20 KB, so that
+	// all together take a tenth of the memory. The smallest VM has room for 920.
+	p.Callers.MaxRequests = min(p.Callers.MaxConns, int(memory>>20)*5)
 	p.Peers = PeerLimits{
 		MaxSessions: conns(peerSessionsShare), MaxStreams: int(memory>>20) * 16, MaxSessionStreams: int(memory>>20) * 12,
 		HeldBytes: memory / 8, DecodeBytes: memory / 8, MaxDocumentBytes: memory / 4,
--- a/internal/messenger/intake.go
+++ b/internal/messenger/intake.go
@@ -423,15 +423,16 @@
 	if isCall {
 		cost += int64(countItems(callBody(frame))) * bytesPerItem
 	}
-	if done, err = decoder.Start(ctx, cost); err != nil {
+	release, err := decoder.Start(ctx, cost)
+	if err != nil {
 		return nil, err
 	}
 	if err := proto.Unmarshal(frame, m); err != nil {
-		done()
+		release()
 		return nil, err
 	}
 	if !isCall && cost > smallMessageBytes {
-		return func() { time.AfterFunc(queuedTime, done) }, nil
+		return func() { time.AfterFunc(queuedTime, release) }, nil
 	}
-	return done, nil
+	return release, nil
 }
