--- a/internal/launcher/endpoint.go
+++ b/internal/launcher/endpoint.go
@@ -106,7 +106,8 @@
 		// The connection enforces smaller limits, which change with the configuration.
 		ReadHeaderTimeout: maxHeaderTimeout, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ErrorLog:    log.New(io.Discard, "", 0), // it would log each malformed request
+		// Clients can cause such messages at will.
+		ErrorLog: log.New(e.Logger.Sample(&zerolog.BurstSampler{Burst: 1, Period: time.Second}), "endpoint: ", 0),
 	}
 }
 
--- a/internal/launcher/intake.go
+++ b/internal/launcher/intake.go
@@ -27,6 +27,7 @@
 	causeSlowBody
 	causeSlowReader
 	causeMemory
+	causeDocument
 	causePipelined
 	causeCount
 )
@@ -34,7 +35,7 @@
 // causeNames are the names of the causes in counters and in the log.
 var causeNames = [causeCount]string{
 	causeConnections: "connections", causeEvicted: "evicted", causeRequests: "requests", causeHeader: "header", causeBody: "body",
-	causeSlowBody: "slowBody", causeSlowReader: "slowReader", causeMemory: "memory", causePipelined: "pipelined",
+	causeSlowBody: "slowBody", causeSlowReader: "slowReader", causeMemory: "memory", causeDocument: "document", causePipelined: "pipelined",
 }
 
 // refusals counts what was refused, by cause.
@@ -109,6 +110,13 @@
 	c, _ := r.Context().Value(connKey{}).(*trackedConn)
 	body = &meteredBody{ReadCloser: r.Body, conn: c, limit: e.requestLimits().bodyBytes, header: w.Header()}
 	body.held = &limiter.Request{Holder: c.holder, Decoder: e.decoder, MaxBodyBytes: body.limit}
+	body.held.OnRefused = func(forMemory bool) {
+		if forMemory {
+			e.refusals.add(causeMemory)
+			return
+		}
+		e.refusals.add(causeDocument)
+	}
 	r.Body = body
 	inFlight := e.requests.Add(1)
 	switch {
--- a/internal/limiter/request.go
+++ b/internal/limiter/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -32,13 +33,16 @@
 }
 
 // Request is what a request holds of the budgets of its listener. It is used by the
-// goroutine of the request. Reserve, BodyLimit and StartDecoding may be called on nil,
-// which has no limits.
+// goroutine of the request. Reserve, BodyLimit, StartDecoding and CountRefusal may be
+// called on nil, which has no limits.
 type Request struct {
 	Holder  *Holder
 	Decoder *Decoder
 	// MaxBodyBytes limits the body.
 	MaxBodyBytes int64
+	// OnRefused counts a refusal: for lack of memory, or else because the document cannot
+	// be valid. It may be nil.
+	OnRefused func(forMemory bool)
 
 	reserved int64
 }
@@ -68,6 +72,15 @@
 	return nil
 }
 
+// CountRefusal counts that the request is refused with err, if that is ErrExhausted or
+// the document cannot be valid.
+func (r *Request) CountRefusal(err error, isInvalid bool) {
+	forMemory := errors.Is(err, ErrExhausted)
+	if r != nil && r.OnRefused != nil && (forMemory || isInvalid) {
+		r.OnRefused(forMemory)
+	}
+}
+
 // Close returns the bytes that the request holds.
 func (r *Request) Close() {
 	r.Holder.Release(r.reserved)
