Endpoint: slowness counts from the header and from blocked writes

A connection that had been idle counted as slow with the first byte of its next request, and could be closed to make room; the time for a response began with 100 Continue, before a body that may take longer. A header is now timed from its first byte, and only the time in which writes are blocked counts for a response. The two new tests fail without the change.

--- a/internal/launcher/intake_test.go
+++ b/internal/launcher/intake_test.go
@@ -295,6 +295,56 @@
 	})
 }
 
+// Guards against a response that is cut because the request took long, after 100 Continue
+// was written.
+func TestResponseAfterALongRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, l, stop := startLimitedEndpoint(t, limiter.Derive(184, 4100).Callers, func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.ReadAll(r.Body); err != nil {
+				t.Errorf("body: %v", err)
+			}
+			time.Sleep(20 * time.Second)
+			w.WriteHeader(http.StatusOK)
+		})
+		defer stop()
+		c := l.dial()
+		defer func() { _ = c.Close() }()
+		if _, status := sendAndReceive(c, 0, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"); status != http.StatusContinue {
+			t.Fatalf("status %d, want 100", status)
+		}
+		time.Sleep(4 * time.Second)
+		if _, status := sendAndReceive(c, 0, "body"); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	})
+}
+
+// Guards against closing a connection to make room, because it was idle before the
+// request that it has begun to send.
+func TestRequestAfterIdleTimeIsNotSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := limiter.Derive(184, 4100).Callers
+		limits.MaxConns, limits.MaxConnsPerSource = 1, 1
+		_, l, stop := startLimitedEndpoint(t, limits, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+		defer stop()
+		c := l.dial()
+		defer func() { _ = c.Close() }()
+		if _, status := sendAndReceive(c, 0, testRequest); status != http.StatusOK {
+			t.Fatalf("status %d, want 200", status)
+		}
+		time.Sleep(2 * idleConnTime)
+		if _, err := io.WriteString(c, testRequest[:20]); err != nil {
+			t.Fatal(err)
+		}
+		if r := exchange(l.dial(), testRequest); r.status != 0 {
+			t.Errorf("another connection: status %d, want none", r.status)
+		}
+		if _, status := sendAndReceive(c, 0, testRequest[20:]); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	})
+}
+
 // Guards against refusing callers of a usual burst: 780 connections, payloads of 4,000
 // bytes in two parts, all waiting for the leader at the same time.
 func TestUsualBurstIsServed(t *testing.T) {
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -127,17 +127,19 @@
 		return now.Sub(c.transfer.reading), 0
 	case c.active:
 		return 0, 0
-	case c.idle && !c.received:
+	case !c.header.started.IsZero():
+		return now.Sub(c.header.started), 0
+	case c.idle:
 		return 0, now.Sub(c.quietSince)
 	}
-	return now.Sub(c.quietSince), 0
+	return now.Sub(c.quietSince), 0 // it has sent nothing yet
 }
 
 // transferMeter limits the time for the body of a request and for its response.
 type transferMeter struct {
-	reading time.Time // start of the wait for the body, zero if there is none
-	writing time.Time // start of the write in progress, zero if there is none
-	started time.Time // first write of the response
+	reading time.Time     // start of the wait for the body, zero if there is none
+	writing time.Time     // start of the write in progress, zero if there is none
+	blocked time.Duration // time of all writes of the response
 	written int64
 }
 
@@ -148,16 +150,20 @@
 
 // startWrite returns the deadline of a write of n bytes.
 func (m *transferMeter) startWrite(now time.Time, n int, l *limiter.Limits) time.Time {
-	if m.started.IsZero() {
-		m.started = now
-	}
 	m.writing = now
 	m.written += int64(n)
-	return m.started.Add(transferTime(m.written, l))
+	return now.Add(transferTime(m.written, l) - m.blocked)
+}
+
+// endWrite records the end of a write.
+func (m *transferMeter) endWrite(now time.Time) {
+	m.blocked += now.Sub(m.writing)
+	m.writing = time.Time{}
 }
 
 // headerMeter counts the header of a request as it arrives.
 type headerMeter struct {
+	started      time.Time // first byte
 	bytes, lines int
 	lineBytes    int // of the current line
 	isComplete   bool
@@ -226,8 +232,11 @@
 	}
 	isFirst := c.header.bytes == 0
 	c.header.count(p)
+	if isFirst {
+		c.header.started = time.Now()
+	}
 	if isFirst && !c.expired {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(limits.headerTimeout)) // fails only if the connection is closed
+		_ = c.Conn.SetReadDeadline(c.header.started.Add(limits.headerTimeout)) // fails only if the connection is closed
 	}
 	tooLarge := int64(c.header.bytes) > limits.headerBytes || c.header.lines > c.endpoint.Limits.MaxHeaderFields
 	cost := c.header.cost() - c.header.reserved
--- a/internal/launcher/trackedconn.go
+++ b/internal/launcher/trackedconn.go
@@ -204,7 +204,7 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
-	c.transfer.writing = time.Time{}
+	c.transfer.endWrite(time.Now())
 	c.mu.Unlock()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.endpoint.refusals.add(causeSlowReader)
