--- a/cmd/carobrock/operations.go
+++ b/cmd/carobrock/operations.go
@@ -10,6 +10,7 @@
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/dumper"
 	"github.com/carobrock/carobrock/internal/launcher"
+	"github.com/carobrock/carobrock/internal/limiter"
 )
 
 // accountsTimeout bounds the call to the leader for the client accounts. A dump is
@@ -27,13 +28,13 @@
 
 // openOperations opens the operations listener, if one is configured. A node serves
 // without it if the address is not available.
-func (n *node) openOperations(control carobrock.JobControl) {
+func (n *node) openOperations(control carobrock.JobControl, limits limiter.Limits) {
 	if n.settings.OperationsAddress == "" {
 		return
 	}
 	router := httprouter.New()
 	(&dumper.Dumper{Process: "node", Version: version, Started: time.Now(), Sections: n.dumpSections(control)}).RegisterRoutes(router)
-	e := &launcher.Endpoint{Name: "operations", Address: n.settings.OperationsAddress, Handler: router, Logger: n.log}
+	e := &launcher.Endpoint{Name: "operations", Address: n.settings.OperationsAddress, Handler: router, Limits: limits, Logger: n.log}
 	if err := e.Open(); err != nil {
 		n.log.Error().Err(err).Msg("node: no operations listener")
 		return
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -19,6 +19,7 @@
 	"github.com/carobrock/carobrock/internal/dispatcher"
 	"github.com/carobrock/carobrock/internal/encoder"
 	"github.com/carobrock/carobrock/internal/journaler"
+	"github.com/carobrock/carobrock/internal/limiter"
 	"github.com/carobrock/carobrock/internal/locator"
 	"github.com/carobrock/carobrock/internal/messenger"
 	"github.com/carobrock/carobrock/internal/recruiter"
@@ -64,6 +65,9 @@
 	// DiskMB is the space for the data directory. Zero means unknown. The replica takes
 	// its snapshots early enough for log, snapshot and a new snapshot to fit.
 	DiskMB int64
+	// MaxDescriptors is the number of descriptors that the process may have open. Zero
+	// means that it is not known.
+	MaxDescriptors int
 	// Retention is how long ended jobs are kept.
 	Retention time.Duration
 	// Advisor selects eligible workers for queues with an advisor policy. It is nil
@@ -135,11 +139,16 @@
 	return time.Duration(ts.Nano())
 }
 
+// otherMemoryMB is the memory that the garbage collector's limit does not include: pages
+// of the program, and what the heap grows by until a collection ends. With 24 MB, peaks
+// of a process with 96 MB were up to 91 MB.
+const otherMemoryMB = 32
+
 // LimitMemory sets the garbage collector's soft memory limit to three quarters of
-// MemoryMB.
+// MemoryMB, or to less if otherMemoryMB would not remain.
 func (s *NodeSettings) LimitMemory() {
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(s.MemoryMB << 20 * 3 / 4)
+		debug.SetMemoryLimit(max(1, min(s.MemoryMB*3/4, s.MemoryMB-otherMemoryMB)) << 20)
 	}
 }
 
@@ -153,7 +162,7 @@
 	}
 	stateMachine := &bookkeeper.StateMachine{RetentionMillis: s.Retention.Milliseconds()}
 	stateMachine.Prepare()
-	ms := &messenger.Messenger{Listener: peerListener, Logger: logger}
+	ms := &messenger.Messenger{Listener: peerListener, Limits: limiter.Derive(s.MemoryMB, s.MaxDescriptors).Peers, Logger: logger}
 	replica := &replicator.Replica{
 		Name: s.Name, Address: s.PeerAddress, InitialMembers: s.initialMembers(), StateMachine: stateMachine, Transport: ms, Logger: logger,
 		ElectionTimeout: nodeElectionTimeout, SnapshotEvery: nodeSnapshotEvery, Uptime: Uptime,
