--- a/cmd/carobrock/drain_test.go
+++ b/cmd/carobrock/drain_test.go
@@ -109,9 +109,7 @@
 	}
 	for range rounds {
 		time.Sleep(300 * time.Millisecond)
-		if err := gateway.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			t.Fatal(err)
-		}
+		gateway.suspend(t)
 		time.Sleep(pause)
 		if err := gateway.cmd.Process.Signal(syscall.SIGCONT); err != nil {
 			t.Fatal(err)
--- a/cmd/carobrock/keys_test.go
+++ b/cmd/carobrock/keys_test.go
@@ -149,9 +149,7 @@
 	waitForStatus(t, http.MethodGet, "http://"+relay.ready+"/v1/readyz", "")
 	waitForKeyStatus(t, relay, keptKey, http.StatusOK)
 	waitForKeyStatus(t, relay, revokedKey, http.StatusOK)
-	if err := relay.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	relay.suspend(t)
 	waitForStatus(t, http.MethodPut, "http://"+leader.control+"/v1/config", keysConfiguration(2, keptKey))
 	time.Sleep(testRevokeTime)
 	var conns []net.Conn
@@ -186,9 +184,7 @@
 	waitForStatus(t, http.MethodGet, "http://"+relay.ready+"/v1/readyz", "")
 	waitForKeyStatus(t, relay, keptKey, http.StatusOK)
 	waitForKeyStatus(t, relay, newKey, http.StatusUnauthorized)
-	if err := leader.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	leader.suspend(t)
 	waitForKeyStatus(t, relay, newKey, http.StatusServiceUnavailable)
 	for range 20 {
 		for _, key := range []string{keptKey, newKey} {
--- a/cmd/carobrock/kill_test.go
+++ b/cmd/carobrock/kill_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,6 +32,40 @@
 	cmd  *exec.Cmd
 }
 
+// suspend stops all threads of the process. They may run on for a moment after the
+// signal was sent, and answer a request that was sent after it.
+func (p *process) suspend(t *testing.T) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(operationTimeout); !p.isSuspended(t); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the process does not stop")
+		}
+	}
+}
+
+// isSuspended reports whether all threads of the process are stopped.
+func (p *process) isSuspended(t *testing.T) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no threads of the process: %v", err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		// The state follows the name, which is in parentheses.
+		if i := bytes.LastIndexByte(data, ')'); i < 0 || !bytes.HasPrefix(data[i:], []byte(") T")) {
+			return false
+		}
+	}
+	return true
+}
+
 // start runs the test binary as carobrock with the arguments of p.
 func (p *process) start(t *testing.T) {
 	t.Helper()
--- a/cmd/carobrock/operations.go
+++ b/cmd/carobrock/operations.go
@@ -46,6 +46,8 @@
 func (n *node) dumpSections(control carobrock.JobControl) []dumper.Section {
 	accounts := func() any { return accountStates(control) }
 	publishMetric("accounts", accounts)
+	intake := func() any { return n.intakeCounts() }
+	publishMetric("intake", intake)
 	sections := []dumper.Section{
 		{Name: "node", State: func() any {
 			return nodeDump{
@@ -54,6 +56,7 @@
 			}
 		}},
 		{Name: "accounts", State: accounts},
+		{Name: "intake", State: intake},
 	}
 	if n.submitter == nil {
 		return sections
@@ -66,6 +69,21 @@
 	)
 }
 
+// intakeCounts returns what the listeners hold and have refused, by their names.
+func (n *node) intakeCounts() map[string]any {
+	out := map[string]any{}
+	for _, e := range n.endpoints {
+		out[e.Name] = e.IntakeCounts()
+	}
+	switch {
+	case n.replica != nil:
+		out["peers"] = n.replica.IntakeCounts()
+	case n.relay != nil:
+		out["peers"] = n.relay.IntakeCounts()
+	}
+	return out
+}
+
 // accountStates returns the status of the client accounts, or the error of the call to
 // the leader in the field error.
 func accountStates(control carobrock.JobControl) any {
--- a/cmd/carobrock/suspend_test.go
+++ b/cmd/carobrock/suspend_test.go
@@ -174,9 +174,7 @@
 				}
 				query = next
 			}
-			if err := other.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-				t.Fatal(err)
-			}
+			other.suspend(t)
 			givenUp := openOrder(t, http.MethodDelete, other.control, query)
 			defer func() { _ = givenUp.Close() }()
 			time.Sleep(orderTimeout)
@@ -213,9 +211,7 @@
 	}
 	putNodeConfiguration(t, leader)
 	waitForStatus(t, http.MethodGet, "http://"+relay.ready+"/v1/readyz", "")
-	if err := relay.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	relay.suspend(t)
 	givenUp, err := net.Dial("tcp", relay.callers)
 	if err != nil {
 		t.Fatal(err)
