--- a/internal/dispatcher/accounts.go
+++ b/internal/dispatcher/accounts.go
@@ -497,12 +497,8 @@
 		return sharer.Isolated
 	case r.Step.Service:
 		return sharer.Services
-	case r.urgency.HasLostValue():
-		return sharer.Worthless
 	case r.job.ExceedsRate:
 		return sharer.Excess
-	case r.urgency.HasStarted:
-		return sharer.Started
 	default:
 		return sharer.Entitled
 	}
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -41,9 +41,6 @@
 	return cmp.Compare(o.SlackMillis, u.SlackMillis)
 }
 
-// HasLostValue reports whether the job ends too late to be of value.
-func (u Urgency) HasLostValue() bool { return u.Class >= 0 && u.Class%timelinessClasses == tooLate }
-
 // Timeliness classes of jobs, in descending order of the value of finishing the
 // job.
 const (
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -27,15 +27,10 @@
 	Isolated Tier = iota
 	// Services are requests of long-running tasks.
 	Services
-	// Started requests belong to jobs within the rate of their account of which tasks
-	// have run. Serving all accounts at once would make the jobs of all of them late.
-	Started
-	// Entitled requests belong to the other jobs within the rate of their account.
+	// Entitled requests belong to jobs within the rate of their account.
 	Entitled
 	// Excess requests belong to jobs beyond the rate of their account.
 	Excess
-	// Worthless requests belong to jobs that end too late to be of value.
-	Worthless
 	tiers // number of tiers
 )
 
--- a/internal/submitter/keys.go
+++ b/internal/submitter/keys.go
@@ -98,8 +98,8 @@
 	account, isKnown := s.keys.accounts[c.digest]
 	isKnown = isKnown && c.hasKey
 	if s.keys.publicQueues[c.queue] {
-		// Calls are served whatever their key. A key that may have been revoked gives
-		// no access to the jobs of an account.
+		// Calls are served whatever their key, and without one. All jobs of the queue
+		// can be read and cancelled by any caller.
 		if isKnown && isFresh {
 			return account, nil
 		}
