Dispatcher: heartbeats of unknown pools change nothing

The leader took each sender for the next incarnation on its VM before it looked at the pool. One heartbeat of a pool that no configuration names ended the real worker for good, as its end is committed.

Such a heartbeat is now answered without effect, unless the worker incarnation is known in this term, has a record or is being lost. A worker of a removed pool ends no other worker and keeps none out. Before the first configuration nothing is recorded of any sender, as no job has a pool then.

--- a/internal/dispatcher/departure.go
+++ b/internal/dispatcher/departure.go
@@ -9,10 +9,12 @@
 )
 
 // isSuperseded reports whether a later worker incarnation runs on the machine of
-// r, which means that the heartbeat was delayed in transit. d.mu must be held.
+// r, which means that the heartbeat was delayed in transit. A worker whose pool was
+// removed from the configuration does not count: it may not keep out one that can be
+// used. d.mu must be held.
 func (d *Dispatcher) isSuperseded(r *carobrock.WorkerReport) bool {
 	for _, w := range d.workers {
-		if r.Machine != "" && w.report.Machine == r.Machine && w.report.Started > r.Started {
+		if r.Machine != "" && w.report.Machine == r.Machine && w.report.Started > r.Started && d.isPoolConfigured(w.report.Pool) {
 			return true
 		}
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -108,6 +108,9 @@
 	roundCount     uint64
 	planTime       time.Duration
 	loadLoggedAt   time.Time
+	// unusableLoggedAt is when a heartbeat of a pool that is not configured was last
+	// logged.
+	unusableLoggedAt time.Time
 	// lastFullRound is when a placement round last considered all waiting tasks,
 	// fillersWait is set if it left over fillers.
 	lastFullRound time.Time
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -29,6 +30,9 @@
 	if err := d.ensureLeader(); err != nil {
 		return nil, err
 	}
+	if response := d.respondToUnusable(r, received); response != nil {
+		return response, nil
+	}
 	w, isNewest := d.recordHeartbeat(r, received)
 	if err := d.recordEnds(ctx, w, r); err != nil {
 		return nil, err
@@ -55,22 +59,68 @@
 	return nil
 }
 
+// respondToUnusable returns the response to a heartbeat of which nothing may be
+// recorded, nil if the heartbeat is to be recorded. The response has no effect but
+// to keep the sender calling: the configuration may name its pool later.
+func (d *Dispatcher) respondToUnusable(r *carobrock.WorkerReport, now time.Time) *carobrock.HeartbeatResponse {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isPoolConfigured(r.Pool) || d.isKnown(r) {
+		return nil
+	}
+	if now.Sub(d.unusableLoggedAt) >= loadLogInterval {
+		d.unusableLoggedAt = now
+		d.Logger.Warn().Str("worker", r.Name).Int64("started", r.Started).Str("machine", r.Machine).Str("pool", r.Pool).
+			Msg("dispatcher: heartbeat ignored, as no configuration in force names its pool")
+	}
+	return &carobrock.HeartbeatResponse{RetryMillis: d.rhythm.currentPeriod().Milliseconds()}
+}
+
+// isPoolConfigured reports whether the configuration in force contains a pool. Before
+// the first configuration none does: no job has a pool then, so no worker is needed,
+// and a foreign sender could otherwise end a worker before its pool is configured.
+func (d *Dispatcher) isPoolConfigured(name string) (ok bool) {
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		ok = s.Configuration != nil && slices.ContainsFunc(s.Configuration.Pools, func(p carobrock.WorkerPool) bool { return p.Name == name })
+	})
+	return ok
+}
+
+// isKnown reports whether the sender of r is a worker incarnation that is known in
+// this term or recorded. If its pool was removed from the configuration, it must
+// still report the ends of its runs and be told to stop them. A heartbeat that names
+// another pool than the ones before comes from another sender. d.mu must be held.
+func (d *Dispatcher) isKnown(r *carobrock.WorkerReport) (ok bool) {
+	if w := d.workers[r.Name]; w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation {
+		return w.report.Pool == r.Pool
+	}
+	d.StateMachine.View(func(s *bookkeeper.State) { ok = s.Workers[r.WorkerIncarnation] != nil })
+	return ok || d.isBeingLost(r.WorkerIncarnation)
+}
+
 // recordHeartbeat stores a heartbeat in the worker table. It returns false if a
 // newer heartbeat, a newer incarnation of the worker or the end of its incarnation
-// is already known.
+// is already known. A worker whose pool is not configured ends no other one.
 func (d *Dispatcher) recordHeartbeat(r *carobrock.WorkerReport, now time.Time) (*worker, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heartbeatCount++
 	w := d.workers[r.Name]
 	if w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation {
-		if r.Sequence <= w.report.Sequence {
+		// The first heartbeat of a term may name a pool that is not configured and come
+		// from another sender. It does not keep out the worker of a configured one.
+		isOvertaken := r.Sequence <= w.report.Sequence
+		if isOvertaken && (d.isPoolConfigured(w.report.Pool) || !d.isPoolConfigured(r.Pool)) {
 			return nil, false
 		}
 	} else {
 		if w != nil && r.Started < w.report.Started || d.isSuperseded(r) || d.hasEnded(r.WorkerIncarnation) {
 			return nil, false
 		}
+		isUsable := d.isPoolConfigured(r.Pool)
+		if w != nil && !isUsable && d.isPoolConfigured(w.report.Pool) {
+			return nil, false
+		}
 		if w != nil {
 			d.endIncarnation(w, "worker was restarted")
 		}
@@ -84,7 +134,9 @@
 			w.isDirect = true
 			d.directWorkers++
 		}
-		d.endEarlierIncarnations(r)
+		if isUsable {
+			d.endEarlierIncarnations(r)
+		}
 		d.Logger.Info().Str("worker", r.Name).Int64("started", r.Started).Str("machine", r.Machine).
 			Str("availabilityZone", r.AvailabilityZone).Msg("dispatcher: worker joined")
 	}
