Dispatcher: the response to a heartbeat has at most 1 MiB

All starts that a worker lacked went into one response. Above 4 MiB the worker drops it, and with it the acknowledgement and the lease, and the next response is the same.

Orders are now added until 1 MiB is used up, counted as encoded: stops and paces first, then starts. The rest follows with the next heartbeats, asked for after 20 ms, and does not count as sent. A start that exceeds the budget by itself goes alone, up to 3 MiB. The stops of an ended worker are bounded in the same way.

--- a/internal/dispatcher/departure.go
+++ b/internal/dispatcher/departure.go
@@ -181,8 +181,12 @@
 		return response, nil
 	}
 	response.FencingToken, response.AckedThrough = d.term, d.lastEndNumber(r.WorkerIncarnation)
+	b := newResponseBudget(response)
 	for i := range r.Running {
-		response.Stop = append(response.Stop, r.Running[i].Run)
+		b.addStop(r.Running[i].Run)
+	}
+	if b.isExhausted {
+		response.RetryMillis = incompleteRetryMillis
 	}
 	if err := d.checkTerm(response.FencingToken); err != nil {
 		return nil, err
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -102,3 +102,6 @@
 	})
 	return n, err
 }
+
+// EncodedLength is encodedLength.
+func EncodedLength(s string) int { return encodedLength(s) }
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -270,20 +270,23 @@
 	if w.isDirect {
 		response.NextAddress = d.WorkerAddress
 	}
+	isComplete := true
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		if rec := s.Workers[r.WorkerIncarnation]; rec != nil {
 			response.AckedThrough = rec.LastEndNumber
 		}
-		d.deriveOrders(s, w, response)
+		isComplete = d.deriveOrders(s, w, response, received)
 	})
-	if r.Leaving {
+	switch {
+	case r.Leaving:
 		response.RetryMillis = d.rhythm.currentPeriod().Milliseconds()
+	case !isComplete:
+		response.RetryMillis = min(response.RetryMillis, incompleteRetryMillis)
 	}
 	w.respondedAt = time.Now()
 	for i := range response.Start {
 		w.startsSent[response.Start[i].Run] = true
 	}
-	response.Pace = w.duePaces(received)
 	w.markPacesSent(response.Pace, received)
 	if end := latestLeaseExpiry(received, d.Settings.Lease); end.After(w.leaseExpiry) {
 		w.leaseExpiry = end
@@ -317,25 +320,37 @@
 	return at.Add(time.Duration(float64(lease)*(1+clockDrift)) + leaseSlack)
 }
 
-// deriveOrders adds start and stop orders to response, derived from the
-// replicated state and the newest heartbeat. d.mu must be held.
-func (d *Dispatcher) deriveOrders(s *bookkeeper.State, w *worker, response *carobrock.HeartbeatResponse) {
+// deriveOrders adds start, stop and pace orders to response, derived from the
+// replicated state and the newest heartbeat, as far as they fit into a response. It
+// returns false if some are left for the next one. Stops come first, as they free
+// capacity and are short. d.mu must be held.
+func (d *Dispatcher) deriveOrders(s *bookkeeper.State, w *worker, response *carobrock.HeartbeatResponse, received time.Time) bool {
 	v := w.updateView(s)
+	b := newResponseBudget(response)
+	for _, run := range v.inactive {
+		b.addStop(run)
+	}
+	for run := range w.stopReasons {
+		if s.IsActive(w.report.WorkerIncarnation, run) {
+			b.addStop(run)
+		}
+	}
+	for _, pace := range w.duePaces(received) {
+		b.addPace(pace)
+	}
 	for _, run := range v.unstarted {
+		if b.isExhausted {
+			break
+		}
 		if !d.isStartable(s, w, run) {
 			continue
 		}
 		j, _, t := s.Task(run.Task)
-		response.Start = append(response.Start, carobrock.StartRun{
+		b.addStart(carobrock.StartRun{
 			Run: run, Payload: j.Spec.Payload, Checkpoint: t.Checkpoint, Ticket: s.Ticket(w.report.WorkerIncarnation, run),
 		})
 	}
-	response.Stop = append(response.Stop, v.inactive...)
-	for run := range w.stopReasons {
-		if s.IsActive(w.report.WorkerIncarnation, run) {
-			response.Stop = append(response.Stop, run)
-		}
-	}
+	return !b.isExhausted
 }
 
 // isStartable reports whether a recorded run that the worker does not have may be
