--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -77,7 +77,10 @@
 	// the log file: it is undefined which file has its name after a power loss.
 	tailUndefined    bool
 	logNameUndefined bool
-	failedWriteSize  int // bytes
+	// snapshotNameUndefined is set after a failed replacement of the snapshot, for the
+	// same reason.
+	snapshotNameUndefined bool
+	failedWriteSize       int // bytes
 }
 
 var _ carobrock.Journal = (*Journal)(nil)
@@ -258,6 +261,12 @@
 	if err := proto.Unmarshal(payload, s); err != nil {
 		return nil, eris.Wrap(ErrCorrupt, snapshotFileName)
 	}
+	if j.snapshotNameUndefined {
+		if err := j.Directory.WriteFile(snapshotFileName, data); err != nil {
+			return nil, diskError(err)
+		}
+		j.snapshotNameUndefined = false
+	}
 	j.snapshotSize = int64(size)
 	return s, nil
 }
@@ -313,9 +322,16 @@
 	return nil
 }
 
+// applyEntry adds an entry. Also one that the snapshot covers replaces all earlier
+// entries with a higher index. An entry of an earlier term than the snapshot does not
+// follow it: the snapshot came from a leader, and the log was not replaced.
 func applyEntry(state *carobrock.JournalState, e *encoder.Entry) error {
 	base := state.Snapshot.GetIndex()
 	if e.GetIndex() <= base {
+		state.Entries = nil
+		return nil
+	}
+	if e.GetTerm() < state.Snapshot.GetTerm() {
 		return nil
 	}
 	position := e.GetIndex() - base - 1
@@ -382,11 +398,11 @@
 	if err := j.Directory.WriteFile(snapshotFileName, snapshotRecord); err != nil {
 		failure := j.fail(err, len(snapshotRecord)+len(logRecord))
 		if errors.Is(failure, ErrFull) {
-			j.failure = nil
+			j.failure, j.snapshotNameUndefined = nil, true
 		}
 		return failure
 	}
-	j.snapshotSize = int64(len(snapshotRecord))
+	j.snapshotSize, j.snapshotNameUndefined = int64(len(snapshotRecord)), false
 	if err := j.replaceLog(logRecord); err != nil {
 		return j.fail(err, len(logRecord))
 	}
