Node: the operations listener serves bounded dumps and profiles only

At most two requests are served at a time, on 16 connections; traces and profiles of more than 30 s are refused.

--- a/cmd/carobrock/operations.go
+++ b/cmd/carobrock/operations.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"expvar"
+	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -17,6 +20,28 @@
 // most useful while there is no leader, and must not wait for one.
 const accountsTimeout = time.Second
 
+const (
+	// maxOperationsConns and maxOperationsRequests bound the memory for dumps and
+	// profiles, which are encoded as a whole. There are few operators.
+	maxOperationsConns    = 16
+	maxOperationsRequests = 2
+	// maxProfileSeconds is the longest duration of a profile.
+	maxProfileSeconds = 30
+)
+
+// boundedProfiles refuses execution traces, whose buffers grow without a bound if they
+// are read slowly, and profiles longer than maxProfileSeconds.
+func boundedProfiles(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seconds, _ := strconv.ParseFloat(r.URL.Query().Get("seconds"), 64) // profiles ignore it as well if it is invalid
+		if strings.HasSuffix(r.URL.Path, "/trace") || !(seconds <= maxProfileSeconds) {
+			http.Error(w, "traces and profiles of more than "+strconv.Itoa(maxProfileSeconds)+" s are not served", http.StatusForbidden)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // nodeDump is the node's own section of the dump.
 type nodeDump struct {
 	Node             string `json:"node"`
@@ -32,9 +57,10 @@
 	if n.settings.OperationsAddress == "" {
 		return
 	}
+	limits.MaxConns, limits.MaxConnsPerSource, limits.MaxRequests = maxOperationsConns, maxOperationsConns, maxOperationsRequests
 	router := httprouter.New()
 	(&dumper.Dumper{Process: "node", Version: version, Started: time.Now(), Sections: n.dumpSections(control)}).RegisterRoutes(router)
-	e := &launcher.Endpoint{Name: "operations", Address: n.settings.OperationsAddress, Handler: router, Limits: limits, Logger: n.log}
+	e := &launcher.Endpoint{Name: "operations", Address: n.settings.OperationsAddress, Handler: boundedProfiles(router), Limits: limits, Logger: n.log}
 	if err := e.Open(); err != nil {
 		n.log.Error().Err(err).Msg("node: no operations listener")
 		return
