Messenger: the state of a session is bounded by its open streams

Each frame with data for any stream ID created a budget holder that was freed only when a stream of that ID was closed or the session ended. yamux discards data for streams that are not open, so 13 bytes on the wire took about 140 bytes of heap: 1.4 million such frames took a process from 27 to 186 MB.

A session now creates state only for a frame that opens a stream, for at most MaxSessionStreams and the backlog of yamux, and keeps it until both sides have closed the stream or streamCloseTimeout has passed. Late data of a closed stream is thus still counted in the budget. Data for other IDs is counted in discardedFrames and skipped. Streams that yamux refused because of the backlog are removed when a later one is accepted.

TestDataOfUnknownStreams failed before with state for 20,000 streams after 20,000 frames; now there is none. TestLateDataOfClosedStream and TestOpenedStreamsAreLimited passed before too and guard the new code.

--- a/internal/messenger/intake.go
+++ b/internal/messenger/intake.go
@@ -29,6 +29,9 @@
 	// streamCloseTimeout is how long a stream that this process has closed remains until
 	// the other side closes it, which other carobrock processes do at once.
 	streamCloseTimeout = 5 * time.Second
+	// acceptBacklog is the number of streams that the other process has opened and this
+	// one has not accepted yet. It is the default of yamux.
+	acceptBacklog = 256
 	// frameGrace is the time for the kind of a stream and for a frame of any size.
 	// minFrameBytesPerSecond is the rate at which the rest of a frame must arrive, a
 	// sixtieth of the slowest link.
@@ -55,7 +58,7 @@
 	sessions map[*incomingSession]struct{}
 	streams  atomic.Int64
 
-	refusedSessions, evictedSessions, refusedFrames atomic.Int64
+	refusedSessions, evictedSessions, refusedFrames, discardedFrames atomic.Int64
 }
 
 func newIntake(limits limiter.PeerLimits) *intake {
@@ -78,6 +81,9 @@
 	RefusedSessions int64                `json:"refusedSessions"`
 	EvictedSessions int64                `json:"evictedSessions"`
 	RefusedFrames   int64                `json:"refusedFrames"`
+	// DiscardedFrames counts the frames of the session's protocol with data for streams
+	// that are not open.
+	DiscardedFrames int64 `json:"discardedFrames"`
 }
 
 // IntakeCounts returns the current values of the counters.
@@ -89,6 +95,7 @@
 	return IntakeCounts{
 		Sessions: sessions, Streams: in.streams.Load(), Budget: in.budget.Counts(),
 		RefusedSessions: in.refusedSessions.Load(), EvictedSessions: in.evictedSessions.Load(), RefusedFrames: in.refusedFrames.Load(),
+		DiscardedFrames: in.discardedFrames.Load(),
 	}
 }
 
@@ -129,15 +136,23 @@
 	mu        sync.Mutex
 	session   *yamux.Session // nil until the session is open
 	lastFrame time.Time      // last complete frame, zero if there was none
-	streams   map[uint32]*limiter.Holder
+	streams   map[uint32]*streamState
+	opening   []uint32 // streams that have not been accepted, in the order of their opening
 	isClosed  bool
 }
 
+// streamState is what a session holds for a stream from its opening until both sides have
+// closed it.
+type streamState struct {
+	holder                       *limiter.Holder
+	isLocalClosed, isOtherClosed bool
+}
+
 // add returns the session of an accepted connection. If there are too many, it closes the
 // one that has sent no complete frame for longest, or returns nil.
 func (in *intake) add(conn net.Conn) *incomingSession {
 	now := time.Now()
-	s := &incomingSession{Conn: conn, intake: in, since: now, streams: map[uint32]*limiter.Holder{}}
+	s := &incomingSession{Conn: conn, intake: in, since: now, streams: map[uint32]*streamState{}}
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if len(in.sessions) >= in.limits.MaxSessions {
@@ -187,10 +202,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isClosed = true
-	for id, h := range s.streams {
-		h.Close()
+	for id, state := range s.streams {
+		state.holder.Close()
 		delete(s.streams, id)
 	}
+	s.opening = nil
 	return s.Conn.Close()
 }
 
@@ -205,9 +221,13 @@
 const (
 	sessionHeaderBytes = 12
 	sessionTypeOffset  = 1
+	flagsOffset        = 2
 	streamIDOffset     = 4
 	lengthOffset       = 8
 	sessionTypeData    = 0
+	sessionTypeWindow  = 1
+	sessionFlagOpen    = 1
+	sessionFlagsEnd    = 4 | 8 // closed or reset
 	// maxSessionFrameBytes is the largest payload that the protocol allows before it has
 	// been acknowledged.
 	maxSessionFrameBytes = 256 << 10
@@ -231,7 +251,7 @@
 			break
 		}
 		s.filled = 0
-		if err := s.startPayload(); err != nil {
+		if err := s.startFrame(); err != nil {
 			_ = s.Conn.Close() // the error is returned
 			return 0, err
 		}
@@ -239,20 +259,64 @@
 	return n, err
 }
 
-// startPayload reserves memory for the payload after a complete header.
-func (s *incomingSession) startPayload() error {
-	length := byteOrder.Uint32(s.header[lengthOffset:])
-	if s.header[sessionTypeOffset] != sessionTypeData || length == 0 {
-		return nil // the length field of other types is not that of a payload
+// startFrame follows the streams that the other process opens and closes, and reserves
+// memory for the payload after a complete header. Data for a stream that is not open
+// changes nothing, as yamux discards it; it may have been sent before the other process
+// knew that the stream was closed.
+func (s *incomingSession) startFrame() error {
+	kind, flags := s.header[sessionTypeOffset], byteOrder.Uint16(s.header[flagsOffset:])
+	if kind != sessionTypeData && kind != sessionTypeWindow {
+		return nil // frames of the whole session
+	}
+	id := byteOrder.Uint32(s.header[streamIDOffset:])
+	if flags&sessionFlagOpen != 0 {
+		if err := s.openStream(id); err != nil {
+			return err
+		}
 	}
+	if length := byteOrder.Uint32(s.header[lengthOffset:]); kind == sessionTypeData && length > 0 {
+		if err := s.startPayload(id, length); err != nil {
+			return err
+		}
+	}
+	if flags&sessionFlagsEnd != 0 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if state, ok := s.streams[id]; ok {
+			state.isOtherClosed = true
+			s.removeClosed(id, state)
+		}
+	}
+	return nil
+}
+
+// openStream adds the state of a stream that the other process opens.
+func (s *incomingSession) openStream(id uint32) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		return net.ErrClosed
+	}
+	if _, ok := s.streams[id]; ok || len(s.streams) >= s.intake.limits.MaxSessionStreams+acceptBacklog {
+		s.intake.refusedFrames.Add(1)
+		return errSession
+	}
+	s.streams[id] = &streamState{holder: s.intake.budget.NewHolder(func() { _ = s.Conn.Close() })} // the read of the session then fails
+	s.opening = append(s.opening, id)
+	return nil
+}
+
+// startPayload reserves memory for a payload.
+func (s *incomingSession) startPayload(id, length uint32) error {
 	if length > maxSessionFrameBytes {
 		s.intake.refusedFrames.Add(1)
 		return errSession
 	}
 	s.rest = length
-	h := s.holder(byteOrder.Uint32(s.header[streamIDOffset:]))
+	h := s.holder(id)
 	if h == nil {
-		return net.ErrClosed
+		s.intake.discardedFrames.Add(1)
+		return nil
 	}
 	h.StartWaiting()
 	if err := h.Reserve(int64(length)); err != nil {
@@ -262,19 +326,68 @@
 	return nil
 }
 
-// holder returns the holder of a stream, nil if the session is closed.
+// holder returns the holder of a stream, nil if the stream is not open.
 func (s *incomingSession) holder(id uint32) *limiter.Holder {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isClosed {
-		return nil
+	if state, ok := s.streams[id]; ok {
+		return state.holder
 	}
-	h, ok := s.streams[id]
+	return nil
+}
+
+// accept records that yamux has passed on a stream. It passes streams on in the order of
+// their opening, so those before it were refused and are removed.
+func (s *incomingSession) accept(id uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.opening) > 0 {
+		next := s.opening[0]
+		s.opening = s.opening[1:]
+		if next == id {
+			return
+		}
+		if state, ok := s.streams[next]; ok {
+			state.isLocalClosed, state.isOtherClosed = true, true
+			s.removeClosed(next, state)
+		}
+	}
+}
+
+// removeClosed removes the state of a stream that both sides have closed. The caller
+// holds s.mu.
+func (s *incomingSession) removeClosed(id uint32, state *streamState) {
+	if state.isLocalClosed && state.isOtherClosed && s.streams[id] == state {
+		state.holder.Close()
+		delete(s.streams, id)
+	}
+}
+
+// closeLocal records that this process has closed a stream, of which it had read and not
+// released a number of bytes. yamux holds what arrives later until the other process
+// closes the stream too, at most for streamCloseTimeout.
+func (s *incomingSession) closeLocal(id uint32, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.streams[id]
 	if !ok {
-		h = s.intake.budget.NewHolder(func() { _ = s.Conn.Close() }) // the read of the session then fails
-		s.streams[id] = h
+		return // the session is closed
+	}
+	state.isLocalClosed = true
+	s.removeClosed(id, state)
+	if state.isOtherClosed {
+		return
 	}
-	return h
+	state.holder.Release(bytes)
+	if state.holder.Bytes() > 0 {
+		state.holder.StartWaiting()
+	}
+	time.AfterFunc(streamCloseTimeout, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		state.isOtherClosed = true
+		s.removeClosed(id, state)
+	})
 }
 
 // incomingStream is a stream of an incoming session. Its reads are limited in time and
@@ -290,6 +403,7 @@
 // startStream returns the stream and counts it. It returns nil if there are too many;
 // the session is then closed.
 func (s *incomingSession) startStream(stream *yamux.Stream) *incomingStream {
+	s.accept(stream.StreamID())
 	n := s.intake.streams.Add(1)
 	if s.session.NumStreams() > s.intake.limits.MaxSessionStreams {
 		_ = s.session.Close() // its streams end
@@ -341,9 +455,8 @@
 func (s *incomingStream) finishFrame() {
 	s.session.mu.Lock()
 	s.session.lastFrame = time.Now()
-	h := s.session.streams[s.StreamID()]
 	s.session.mu.Unlock()
-	if h != nil {
+	if h := s.session.holder(s.StreamID()); h != nil {
 		h.StopWaiting()
 	}
 }
@@ -351,10 +464,7 @@
 // releaseFrame returns the memory of what was read. Until the next frame starts there is
 // no deadline.
 func (s *incomingStream) releaseFrame() {
-	s.session.mu.Lock()
-	h := s.session.streams[s.StreamID()]
-	s.session.mu.Unlock()
-	if h != nil {
+	if h := s.session.holder(s.StreamID()); h != nil {
 		h.Release(s.bytes)
 		if h.Bytes() > 0 { // of the next frame
 			h.StartWaiting()
@@ -368,12 +478,7 @@
 func (s *incomingStream) Close() error {
 	s.session.intake.streams.Add(-1)
 	err := s.Stream.Close()
-	s.session.mu.Lock()
-	defer s.session.mu.Unlock()
-	if h, ok := s.session.streams[s.StreamID()]; ok {
-		h.Close()
-		delete(s.session.streams, s.StreamID())
-	}
+	s.session.closeLocal(s.StreamID(), s.bytes)
 	return err
 }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -177,6 +177,7 @@
 	cfg.ConnectionWriteTimeout = ms.PingTimeout
 	cfg.StreamOpenTimeout = ms.PingTimeout
 	cfg.StreamCloseTimeout = streamCloseTimeout
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.LogOutput = io.Discard
 	return cfg
 }
