Messenger: messages arrive after one that was refused

serveOneWay returned on any decoding error, also when there was no memory for decoding within 1 s. yamux lets the sender go on writing to a stream that this side has closed, so all later heartbeats and appends of that replica were lost until the stream was reset after up to 5 s; the timeout of an election is 0.7 s.

A frame for which there is no memory is now dropped and counted in refusedFrames, and the stream goes on. After other errors the receiver closes the stream as before; the sender now notices this at once, closes its side, also during a write, and opens a new stream for the next message.

TestMessagesAfterRefusedFrame failed before in both cases: no message within 2 s of the refusal.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -223,11 +223,17 @@
 	}
 }
 
-// serveOneWay passes the one-way messages of a stream to OnMessage.
+// serveOneWay passes the one-way messages of a stream to OnMessage. A message for which
+// there is no memory is dropped. After any other error the stream ends, and the sender
+// opens a new one.
 func (ms *Messenger) serveOneWay(ctx context.Context, stream *incomingStream) {
 	for {
 		m := &encoder.Message{}
 		done, err := stream.decode(ctx, m, ms.intake.messages)
+		if errors.Is(err, limiter.ErrExhausted) && ctx.Err() == nil {
+			stream.releaseFrame()
+			continue
+		}
 		if err != nil {
 			return
 		}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -215,14 +216,14 @@
 // runSender sends the queued messages to p until ctx ends. Messages that cannot
 // be sent are discarded.
 func (ms *Messenger) runSender(ctx context.Context, p *peer) {
-	var stream net.Conn
+	var stream *oneWayStream
 	var err error
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-p.queue:
-			if stream == nil {
+			if stream == nil || stream.isEnded() {
 				stream, err = ms.openOneWayStream(ctx, p)
 			}
 			if err == nil {
@@ -240,15 +241,41 @@
 }
 
 // openOneWayStream opens a stream for one-way messages to p.
-func (ms *Messenger) openOneWayStream(ctx context.Context, p *peer) (net.Conn, error) {
+func (ms *Messenger) openOneWayStream(ctx context.Context, p *peer) (*oneWayStream, error) {
 	session, err := ms.openSession(ctx, p)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
+	opened, err := session.OpenStream()
 	if err != nil {
 		return nil, err
 	}
+	stream := &oneWayStream{Conn: opened, ended: make(chan struct{})}
+	ms.group.Go(stream.watch)
 	_, err = stream.Write([]byte{streamOneWay})
 	return stream, err
 }
+
+// oneWayStream is a stream for one-way messages, on which the other process sends nothing.
+type oneWayStream struct {
+	net.Conn
+	ended chan struct{} // closed when the other process has closed the stream
+}
+
+// watch closes the stream when the other process does. yamux itself would let it be
+// written to until streamCloseTimeout, and all messages would be lost meanwhile.
+func (s *oneWayStream) watch() {
+	_, _ = io.Copy(io.Discard, s.Conn) // any error ends the stream
+	close(s.ended)
+	_ = s.Close()
+}
+
+// isEnded returns whether the other process has closed the stream.
+func (s *oneWayStream) isEnded() bool {
+	select {
+	case <-s.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/messenger/session_test.go
+++ b/internal/messenger/session_test.go
@@ -1,12 +1,17 @@
 package messenger
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carobrock/carobrock/internal/encoder"
 	"github.com/carobrock/carobrock/internal/limiter"
 )
 
@@ -137,3 +142,48 @@
 		t.Errorf("state for %d streams, want none", n)
 	}
 }
+
+// Guards against a replica that is not heard for several seconds after one of its
+// messages could not be decoded, which is longer than the timeout of an election.
+func TestMessagesAfterRefusedFrame(t *testing.T) {
+	big := &encoder.Message{Snapshot: &encoder.Snapshot{Data: make([]byte, 100_000)}}
+	junk := &encoder.Message{}
+	for range 100_000 {
+		junk.Entries = append(junk.Entries, &encoder.Entry{})
+	}
+	for _, test := range []struct {
+		name        string
+		message     *encoder.Message
+		isExhausted bool
+	}{
+		{"no memory for decoding", big, true},
+		{"message that cannot be valid", junk, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var received atomic.Int64
+			server, client, address := startLimited(t, limiter.Derive(184, 4100).Peers, func(m *encoder.Message) {
+				if m.GetTerm() > 0 {
+					received.Add(1)
+				}
+			})
+			done := func() {}
+			if test.isExhausted {
+				var err error
+				if done, err = server.intake.messages.Start(context.Background(), server.intake.limits.MaxDocumentBytes); err != nil {
+					t.Fatal(err)
+				}
+			}
+			client.Send(address, test.message)
+			waitFor(t, "the refusal", func() bool { return server.IntakeCounts().RefusedFrames > 0 })
+			done()
+			next := proto.Clone(big).(*encoder.Message)
+			next.Term = 1
+			for start := time.Now(); received.Load() == 0; time.Sleep(20 * time.Millisecond) {
+				if time.Since(start) > 2*time.Second {
+					t.Fatal("no message arrived within 2 s of the refusal")
+				}
+				client.Send(address, next)
+			}
+		})
+	}
+}
