--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -177,6 +177,7 @@
 	cfg.ConnectionWriteTimeout = ms.PingTimeout
 	cfg.StreamOpenTimeout = ms.PingTimeout
 	cfg.StreamCloseTimeout = streamCloseTimeout
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.LogOutput = io.Discard
 	return cfg
 }
@@ -222,11 +223,17 @@
 	}
 }
 
-// serveOneWay passes the one-way messages of a stream to OnMessage.
+// serveOneWay passes the one-way messages of a stream to OnMessage. A message for which
+// there is no memory is dropped. After any other error the stream ends, and the sender
+// opens a new one.
 func (ms *Messenger) serveOneWay(ctx context.Context, stream *incomingStream) {
 	for {
 		m := &encoder.Message{}
-		done, err := stream.decode(ctx, m, ms.intake.messages)
+		done, err := stream.decode(ctx, m)
+		if errors.Is(err, limiter.ErrExhausted) && ctx.Err() == nil {
+			stream.releaseFrame()
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -241,7 +248,7 @@
 // serveCall reads a call from its stream, executes it and writes the response.
 func (ms *Messenger) serveCall(ctx context.Context, stream *incomingStream) {
 	call := &encoder.Call{}
-	done, err := stream.decode(ctx, call, ms.intake.calls)
+	done, err := stream.decode(ctx, call)
 	if err != nil {
 		return
 	}
