--- a/internal/dispatcher/accounts.go
+++ b/internal/dispatcher/accounts.go
@@ -421,6 +421,8 @@
 		return sharer.Services
 	case r.job.ExceedsRate:
 		return sharer.Excess
+	case r.urgency.HasStarted:
+		return sharer.Started
 	default:
 		return sharer.Entitled
 	}
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -27,7 +27,12 @@
 	Isolated Tier = iota
 	// Services are requests of long-running tasks.
 	Services
-	// Entitled requests belong to jobs within the rate of their account.
+	// Started requests belong to jobs within the rate of their account of which tasks
+	// have run. They come first only as far as their account stays within its share of
+	// the fleet; the rest of them counts as Entitled. Without this tier the jobs of all
+	// accounts are served at once, and on a full fleet those of all of them end late.
+	Started
+	// Entitled requests belong to the other jobs within the rate of their account.
 	Entitled
 	// Excess requests belong to jobs beyond the rate of their account.
 	Excess
@@ -85,7 +90,7 @@
 		}
 		return out
 	}
-	o := &orderer{requests: requests, total: components(total), accounts: make([]account, len(accounts)), out: out}
+	o := &orderer{total: components(total), accounts: make([]account, len(accounts)), out: out}
 	for i, x := range o.total {
 		if x > 0 {
 			o.perUnit[i] = 1 / x
@@ -95,12 +100,76 @@
 		o.accounts[i] = account{weight: accounts[i].Weight, usage: components(accounts[i].Usage)}
 		o.updateLevel(&o.accounts[i])
 	}
+	o.splitStarted(requests)
 	for tier := range tiers {
 		o.orderTier(tier)
 	}
+	for i := range o.out {
+		p, r := &o.out[i], &o.requests[o.out[i].Request]
+		p.Request, p.First = r.index, p.First+r.first
+	}
 	return o.out
 }
 
+// request is a Request, or one of the two ranges of its tasks that are in different
+// tiers.
+type request struct {
+	Request
+	// index is that of the Request, first that of the first task of the range.
+	index int
+	first int
+}
+
+// splitStarted sets o.requests. Of the started requests of an account, the tasks that
+// exceed its share go to the next tier. The share is that among the accounts that run
+// or wait for something.
+func (o *orderer) splitStarted(requests []Request) {
+	active := make([]bool, len(o.accounts))
+	for i := range requests {
+		active[requests[i].Account] = true
+	}
+	weights := 0.0
+	held := make([]account, len(o.accounts))
+	isExhausted := make([]bool, len(o.accounts))
+	for i := range o.accounts {
+		a := &o.accounts[i]
+		if active[i] || a.level > 0 {
+			weights += a.weight
+		}
+		held[i] = account{weight: a.weight, usage: a.usage}
+	}
+	o.requests = make([]request, 0, len(requests))
+	for i := range requests {
+		r := &requests[i]
+		if r.Tier != Started {
+			o.requests = append(o.requests, request{Request: *r, index: i})
+			continue
+		}
+		a, n := &held[r.Account], 0
+		if a.weight > 0 && !isExhausted[r.Account] {
+			n = min(r.Count, o.tasksUpTo(a, r.Size, 1/weights))
+		}
+		if r.IsGang && n < r.Count {
+			n = 0
+		}
+		isExhausted[r.Account] = n < r.Count
+		size := components(r.Size)
+		for x := range size {
+			a.usage[x] += float64(n) * size[x]
+		}
+		if n > 0 {
+			within := *r
+			within.Count = n
+			o.requests = append(o.requests, request{Request: within, index: i})
+		}
+		if n < r.Count {
+			beyond := *r
+			beyond.Count, beyond.Tier = r.Count-n, Entitled
+			o.requests = append(o.requests, request{Request: beyond, index: i, first: n})
+		}
+	}
+}
+
 // vector holds the components of a capacity.
 type vector [3]float64
 
@@ -124,7 +193,7 @@
 
 // orderer is a heap of the accounts that have waiting requests in the current tier.
 type orderer struct {
-	requests []Request
+	requests []request
 	total    vector
 	// perUnit holds the share that a unit of each resource is, zero if there is none.
 	perUnit  vector
