--- a/internal/dispatcher/unchanged_test.go
+++ b/internal/dispatcher/unchanged_test.go
@@ -41,7 +41,7 @@
 		h.must(workers[i].sendHeartbeat())
 	}
 	jobs, compared := 0, 0
-	for range 120 {
+	for range 240 {
 		for range rnd.IntN(3) {
 			step := carobrock.Step{
 				Count: 1 + rnd.IntN(6), Size: carobrock.Capacity{MilliCPU: 500 * (1 + rnd.Int64N(5)), MemoryMB: 100 + rnd.Int64N(8000)}, EstimateMillis: 500 + rnd.Int64N(2000),
