Logger: one limiter of log lines for refused calls and for limits of accounts

The submitter and the dispatcher had each a copy of the same limiter: five lines a second for a cause, with the number suppressed. Both use logger.LineLimiter now; lines and numbers are unchanged. Smaller repetitions go with it: addEndpoint returns the endpoint instead of a look-up by position, and the sharer adds tasks to a usage in one place.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -80,8 +80,8 @@
 	limits := limiter.Derive(s.MemoryMB, s.MaxDescriptors)
 	if s.ServesCallers {
 		n.submitter = &submitter.Submitter{Control: control, KeyFreshness: s.KeyFreshness, Uptime: launcher.Uptime, Logger: n.log}
-		n.addEndpoint("callers", s.CallerAddress, limits.Callers, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
-		n.endpoints[0].RequestLimits = n.submitter.RequestLimits
+		callers := n.addEndpoint("callers", s.CallerAddress, limits.Callers, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
+		callers.RequestLimits = n.submitter.RequestLimits
 		n.addEndpoint("readiness", s.ReadyAddress, limits.Readiness, &platform.ReadinessHandler{IsReady: n.submitter.IsReady})
 	}
 	if s.ServesControl {
@@ -117,9 +117,11 @@
 	return n.replica.Control, nil
 }
 
-// addEndpoint adds an HTTP endpoint to the node.
-func (n *node) addEndpoint(name, address string, limits limiter.Limits, h http.Handler) {
-	n.endpoints = append(n.endpoints, &launcher.Endpoint{Name: name, Address: address, Handler: h, Limits: limits, Logger: n.log})
+// addEndpoint adds an HTTP endpoint to the node and returns it.
+func (n *node) addEndpoint(name, address string, limits limiter.Limits, h http.Handler) *launcher.Endpoint {
+	e := &launcher.Endpoint{Name: name, Address: address, Handler: h, Limits: limits, Logger: n.log}
+	n.endpoints = append(n.endpoints, e)
+	return e
 }
 
 const (
--- a/internal/dispatcher/accounts.go
+++ b/internal/dispatcher/accounts.go
@@ -8,6 +8,7 @@
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/sharer"
 )
 
@@ -34,8 +35,8 @@
 	heldSteps    map[carobrock.TaskRef]bool
 	neverFitting map[string]bool
 	// heldLog and neverFitsLog limit the log lines.
-	heldLog      logLimiter
-	neverFitsLog logLimiter
+	heldLog      logger.LineLimiter
+	neverFitsLog logger.LineLimiter
 }
 
 // waitingTasks counts the waiting tasks of an account, and those of them that wait
@@ -321,9 +322,9 @@
 		return false
 	}
 	d.accounts.neverFitting[r.Job] = true
-	if d.accounts.neverFitsLog.admit(now) {
+	if d.accounts.neverFitsLog.Admit(now) {
 		d.Logger.Warn().Str("account", s.Configuration.Accounts[account].Name).Str("job", r.Job).Int("step", r.StepNumber).Interface("size", r.Step.Size).Int("together", gangSize(r.Step)).
-			Interface("limit", s.Configuration.Accounts[account].Limit).Int("suppressed", d.accounts.neverFitsLog.takeSuppressed()).
+			Interface("limit", s.Configuration.Accounts[account].Limit).Int("suppressed", d.accounts.neverFitsLog.TakeSuppressed()).
 			Msg("dispatcher: a job never starts, as one of its tasks or gangs exceeds the limit of its client account")
 	}
 	return false
@@ -348,9 +349,9 @@
 			continue
 		}
 		d.accounts.heldSteps[step] = true
-		if d.accounts.heldLog.admit(now) {
+		if d.accounts.heldLog.Admit(now) {
 			d.Logger.Info().Str("account", account).Str("job", r.Job).Int("occurrence", r.Occurrence).Int("step", r.StepNumber).Int("tasks", r.HeldCount).
-				Int("suppressed", d.accounts.heldLog.takeSuppressed()).Msg("dispatcher: tasks wait because of the limit of their client account")
+				Int("suppressed", d.accounts.heldLog.TakeSuppressed()).Msg("dispatcher: tasks wait because of the limit of their client account")
 		}
 	}
 	if !isFull {
@@ -360,9 +361,9 @@
 		round.waiting[d.accountIndex(s, s.Jobs[assigned[i].Task.Job].Spec.Account)].total--
 	}
 	d.accounts.waiting, d.accounts.heldSteps = round.waiting, held
-	for _, l := range []*logLimiter{&d.accounts.heldLog, &d.accounts.neverFitsLog} {
-		if l.suppressed > 0 && now.Sub(l.since) >= time.Second {
-			d.Logger.Info().Int("suppressed", l.takeSuppressed()).Msg("dispatcher: log lines on limits of client accounts were suppressed")
+	for _, l := range []*logger.LineLimiter{&d.accounts.heldLog, &d.accounts.neverFitsLog} {
+		if n := l.TakeSuppressedAfterPeriod(now); n > 0 {
+			d.Logger.Info().Int("suppressed", n).Msg("dispatcher: log lines on limits of client accounts were suppressed")
 		}
 	}
 	for id := range d.accounts.neverFitting {
--- a/internal/dispatcher/accountstatus.go
+++ b/internal/dispatcher/accountstatus.go
@@ -3,43 +3,11 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 )
 
-// maxLogLines is the number of lines a second that are logged for one cause, so that a
-// client cannot fill the log.
-const maxLogLines = 5
-
-// logLimiter limits the log lines of one cause.
-type logLimiter struct {
-	since      time.Time
-	lines      int
-	suppressed int
-}
-
-// admit reports whether a line may be logged, and counts it as suppressed otherwise.
-func (l *logLimiter) admit(now time.Time) bool {
-	if now.Sub(l.since) >= time.Second {
-		l.since, l.lines = now, 0
-	}
-	if l.lines >= maxLogLines {
-		l.suppressed++
-		return false
-	}
-	l.lines++
-	return true
-}
-
-// takeSuppressed returns the number of lines that were suppressed since the last call.
-func (l *logLimiter) takeSuppressed() int {
-	n := l.suppressed
-	l.suppressed = 0
-	return n
-}
-
 // Accounts implements carobrock.JobControl. The numbers of waiting tasks are those of
 // the last placement round that considered all of them.
 func (d *Dispatcher) Accounts(context.Context) (out []carobrock.AccountStatus, err error) {
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -153,10 +153,7 @@
 			n = 0
 		}
 		isExhausted[r.Account] = n < r.Count
-		size := components(r.Size)
-		for x := range size {
-			a.usage[x] += float64(n) * size[x]
-		}
+		a.add(r.Size, n)
 		if n > 0 {
 			within := *r
 			within.Count = n
@@ -191,6 +188,13 @@
 	granted int
 }
 
+// add adds n tasks of a size to the usage.
+func (a *account) add(size carobrock.Capacity, n int) {
+	for i, x := range components(size) {
+		a.usage[i] += float64(n) * x
+	}
+}
+
 // orderer is a heap of the accounts that have waiting requests in the current tier.
 type orderer struct {
 	requests []request
@@ -301,10 +305,7 @@
 
 // grant appends tasks to the order and adds them to what their account has.
 func (o *orderer) grant(a *account, request, first, n int) {
-	size := components(o.requests[request].Size)
-	for i := range size {
-		a.usage[i] += float64(n) * size[i]
-	}
+	a.add(o.requests[request].Size, n)
 	o.updateLevel(a)
 	if last := len(o.out) - 1; last >= 0 && o.out[last].Request == request {
 		o.out[last].Count += n
--- a/internal/submitter/keys_test.go
+++ b/internal/submitter/keys_test.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/sleeper"
 )
 
@@ -541,12 +542,12 @@
 			synctest.Wait() // nothing is being logged
 			return strings.Count(g.log.String(), text)
 		}
-		if n := countLines(`"cause":"unknownKey"`); n != loggedRefusals {
-			t.Errorf("%d lines in a second, want %d", n, loggedRefusals)
+		if n := countLines(`"cause":"unknownKey"`); n != logger.MaxLines {
+			t.Errorf("%d lines in a second, want %d", n, logger.MaxLines)
 		}
-		time.Sleep(refusalLogPeriod)
+		time.Sleep(logger.LinePeriod)
 		g.wantSubmitError(unknownKey, ErrUnknownKey)
-		time.Sleep(2 * refusalLogPeriod)
+		time.Sleep(2 * logger.LinePeriod)
 		for _, cause := range []string{"unknownKey", "missingKey"} {
 			if n := countLines(`"cause":"`+cause+`","suppressed":95`) + countLines(`"cause":"`+cause+`","queue":"h/q/","suppressed":95`); n != 1 {
 				t.Errorf("%s: %d lines with the number of suppressed ones, want 1:\n%s", cause, n, g.log)
--- a/internal/submitter/refusals.go
+++ b/internal/submitter/refusals.go
@@ -7,13 +7,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-)
 
-const (
-	// loggedRefusals is the number of refusals of one cause that are logged in each
-	// refusalLogPeriod. Callers choose how many refusals there are.
-	loggedRefusals   = 5
-	refusalLogPeriod = time.Second
+	"github.com/carobrock/carobrock/internal/logger"
 )
 
 // refusalCauses lists the causes for which calls are refused, with their names in the
@@ -32,19 +27,12 @@
 	counts [len(refusalCauses)]expvar.Int
 
 	mu   sync.Mutex
-	logs [len(refusalCauses)]refusalLog
-}
-
-// refusalLog bounds the log lines of one cause.
-type refusalLog struct {
-	periodStart time.Time
-	written     int // lines in the period
-	suppressed  int // refusals since the last line that were not logged
+	logs [len(refusalCauses)]logger.LineLimiter
 }
 
 // record counts a call on a queue that is refused with err, and logs it unless
-// loggedRefusals others of that cause were logged in the period.
-func (r *refusals) record(err error, queue string, logger zerolog.Logger) {
+// too many others of that cause were logged.
+func (r *refusals) record(err error, queue string, log zerolog.Logger) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, cause := range refusalCauses {
@@ -52,30 +40,21 @@
 			continue
 		}
 		r.counts[i].Add(1)
-		l := &r.logs[i]
-		if now := time.Now(); now.Sub(l.periodStart) >= refusalLogPeriod {
-			l.periodStart, l.written = now, 0
-		}
-		if l.written == loggedRefusals {
-			l.suppressed++
-			return
+		if l := &r.logs[i]; l.Admit(time.Now()) {
+			log.Warn().Str("cause", cause.name).Str("queue", queue).Int("suppressed", l.TakeSuppressed()).Msg("submitter: call refused")
 		}
-		l.written++
-		logger.Warn().Str("cause", cause.name).Str("queue", queue).Int("suppressed", l.suppressed).Msg("submitter: call refused")
-		l.suppressed = 0
+		return
 	}
 }
 
 // logSuppressed logs how many refusals were suppressed in a period that has ended, in
 // case that no further one follows.
-func (r *refusals) logSuppressed(logger zerolog.Logger) {
+func (r *refusals) logSuppressed(log zerolog.Logger) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, cause := range refusalCauses {
-		l := &r.logs[i]
-		if l.suppressed > 0 && time.Since(l.periodStart) >= refusalLogPeriod {
-			logger.Warn().Str("cause", cause.name).Int("suppressed", l.suppressed).Msg("submitter: further calls refused")
-			l.suppressed = 0
+		if n := r.logs[i].TakeSuppressedAfterPeriod(time.Now()); n > 0 {
+			log.Warn().Str("cause", cause.name).Int("suppressed", n).Msg("submitter: further calls refused")
 		}
 	}
 }
