Observability: failed watches of the configuration, and replicas that are avoided

Callers got no answer about accepted jobs, and the logs could not tell a node that fails to get the configuration from one whose leader is slow: a failed watch was logged at level debug only, and that a node left its leader not at all.

The counters leaderCalls and configuration are in the dump and in expvar.

--- a/cmd/carobrock/operations.go
+++ b/cmd/carobrock/operations.go
@@ -14,6 +14,7 @@
 	"github.com/carobrock/carobrock/internal/dumper"
 	"github.com/carobrock/carobrock/internal/launcher"
 	"github.com/carobrock/carobrock/internal/limiter"
+	"github.com/carobrock/carobrock/internal/locator"
 )
 
 // accountsTimeout bounds the call to the leader for the client accounts. A dump is
@@ -72,6 +73,8 @@
 func (n *node) dumpSections(control carobrock.JobControl) []dumper.Section {
 	accounts := func() any { return accountStates(control) }
 	publishMetric("accounts", accounts)
+	leaderCalls := func() any { return n.leaderCalls() }
+	publishMetric("leaderCalls", leaderCalls)
 	intake := func() any { return n.intakeCounts() }
 	publishMetric("intake", intake)
 	sections := []dumper.Section{
@@ -81,6 +84,7 @@
 				Gateway: n.submitter != nil, Replica: n.replica != nil, Relay: n.relay != nil,
 			}
 		}},
+		{Name: "leaderCalls", State: leaderCalls},
 		{Name: "accounts", State: accounts},
 		{Name: "intake", State: intake},
 	}
@@ -89,8 +93,10 @@
 	}
 	refusedCalls := func() any { return n.submitter.RefusedCalls() }
 	publishMetric("refusedCalls", refusedCalls)
+	configuration := func() any { return n.submitter.Status() }
+	publishMetric("configuration", configuration)
 	return append(sections,
-		dumper.Section{Name: "configuration", State: func() any { return n.submitter.Status() }},
+		dumper.Section{Name: "configuration", State: configuration},
 		dumper.Section{Name: "refusedCalls", State: refusedCalls},
 	)
 }
@@ -110,6 +116,14 @@
 	return out
 }
 
+// leaderCalls returns the counters of the calls to the leader.
+func (n *node) leaderCalls() locator.Counts {
+	if n.replica != nil {
+		return n.replica.LeaderCalls()
+	}
+	return n.relay.LeaderCalls()
+}
+
 // accountStates returns the status of the client accounts, or the error of the call to
 // the leader in the field error.
 func accountStates(control carobrock.JobControl) any {
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -232,6 +232,9 @@
 	}
 }
 
+// LeaderCalls returns the counters of the calls to other replicas.
+func (j *JobReplica) LeaderCalls() locator.Counts { return j.locator.Counts() }
+
 // SetSeeds replaces the peer addresses at which the replica looks for the group.
 func (j *JobReplica) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
 
--- a/internal/launcher/relay.go
+++ b/internal/launcher/relay.go
@@ -55,6 +55,9 @@
 	return host
 }
 
+// LeaderCalls returns the counters of the calls to the leader.
+func (j *JobRelay) LeaderCalls() locator.Counts { return j.locator.Counts() }
+
 // SetSeeds replaces the peer addresses at which the relay looks for the group.
 func (j *JobRelay) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
 
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/logger"
 	"github.com/carobrock/carobrock/internal/messenger"
 	"github.com/carobrock/carobrock/internal/sleeper"
 )
@@ -58,6 +59,43 @@
 	// avoidUntil holds the times until which replicas that did not respond are
 	// avoided, by address.
 	avoidUntil map[string]time.Time
+	avoidLog   logger.LineLimiter
+	counts     Counts
+}
+
+// Counts is a snapshot of the counters of a Locator.
+type Counts struct {
+	// Calls counts the calls to the leader, Failed those of them that ended without a
+	// response of it.
+	Calls  int64 `json:"calls"`
+	Failed int64 `json:"failed"`
+	// Attempts counts the attempts at replicas, Unanswered those without a response.
+	Attempts   int64 `json:"attempts"`
+	Unanswered int64 `json:"unanswered"`
+	// Leader is the address of the leader, empty if it is not known. Avoided counts how
+	// often a replica was avoided because it had not responded.
+	Leader  string `json:"leader"`
+	Avoided int64  `json:"avoided"`
+}
+
+// Counts returns the current values of the counters.
+func (l *Locator) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counts
+	c.Leader = l.leader
+	return c
+}
+
+// countCall counts a call with its attempts.
+func (l *Locator) countCall(attempts int64, isAnswered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Calls++
+	l.counts.Attempts += attempts
+	if !isAnswered {
+		l.counts.Failed++
+	}
 }
 
 // SetSeeds replaces the configured seed addresses.
@@ -147,11 +185,19 @@
 	l.leader = address
 }
 
-// avoid marks a replica that did not respond.
-func (l *Locator) avoid(address string) {
+// avoid marks a replica that did not respond to a call of the given duration.
+func (l *Locator) avoid(address, method string, err error, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	l.counts.Unanswered++
+	if !now.Before(l.avoidUntil[address]) {
+		l.counts.Avoided++
+		if l.avoidLog.Admit(now) {
+			l.Logger.Warn().Str("replica", address).Str("method", method).Dur("took", took).Err(err).Int("suppressed", l.avoidLog.TakeSuppressed()).
+				Msg("locator: replica did not respond and is avoided")
+		}
+	}
 	for a, until := range l.avoidUntil {
 		if now.After(until) {
 			delete(l.avoidUntil, a)
@@ -190,25 +236,31 @@
 // if no replica can have executed the call, and otherwise one that wraps
 // carobrock.ErrOutcomeUnknown, or the leader's own error.
 func (l *Locator) Call(ctx context.Context, method string, body []byte) ([]byte, error) {
-	outcomeUnknown := false
+	outcomeUnknown, isAnswered := false, false
 	lastErr := error(carobrock.ErrNotApplied)
+	attempts := int64(0)
+	defer func() { l.countCall(attempts, isAnswered) }()
 	for i := 0; ctx.Err() == nil; i++ {
 		address := l.nextAddress(i)
 		if address == "" {
 			return nil, eris.Wrap(carobrock.ErrNotApplied, "no replica address is known")
 		}
+		attempts++
+		began := time.Now()
 		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 		response, err := l.RPCClient.Call(attemptCtx, address, method, body)
 		cancel()
 		if err == nil {
+			isAnswered = true
 			l.setLeader(address)
 			return response, nil
 		}
 		lastErr = err
-		if l.updateLeaderAfterError(address, err, &outcomeUnknown) {
+		if l.updateLeaderAfterError(address, method, err, time.Since(began), &outcomeUnknown) {
 			continue
 		}
 		if isFinal(err) {
+			isAnswered = true
 			if outcomeUnknown && isOverloaded(err) {
 				// An earlier attempt may still be executed.
 				return nil, eris.Wrap(carobrock.ErrOutcomeUnknown, err.Error())
@@ -223,16 +275,16 @@
 	return nil, eris.Wrap(carobrock.ErrNotApplied, lastErr.Error())
 }
 
-// updateLeaderAfterError updates the leader after a failed attempt, sets
-// outcomeUnknown if the call may have been executed, and reports whether the
+// updateLeaderAfterError updates the leader after a failed attempt of the given
+// duration, sets outcomeUnknown if the call may have been executed, and reports whether the
 // response contains the address of another replica, to which the call can be
 // sent without a delay.
-func (l *Locator) updateLeaderAfterError(address string, err error, outcomeUnknown *bool) bool {
+func (l *Locator) updateLeaderAfterError(address, method string, err error, took time.Duration, outcomeUnknown *bool) bool {
 	var remote *messenger.RemoteError
 	if !errors.As(err, &remote) {
 		*outcomeUnknown = *outcomeUnknown || !errors.Is(err, messenger.ErrNotSent)
 		l.forgetLeader(address)
-		l.avoid(address)
+		l.avoid(address, method, err, took)
 		return false
 	}
 	switch remote.Code {
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -56,6 +56,7 @@
 	keys        *keyTable     // of current
 	confirmedAt time.Duration // on the clock now
 	draining    bool
+	watches     watchCounts
 }
 
 // processStart is the origin of the clock now if there is no Uptime.
@@ -80,7 +81,7 @@
 		c, err := s.Control.WatchConfiguration(callCtx, s.currentVersion())
 		cancel()
 		if err != nil {
-			s.Logger.Debug().Err(err).Msg("submitter: watch of the configuration failed")
+			s.recordWatchFailure(err)
 			// A large configuration may take longer than the timeout of a short poll on a
 			// slow link.
 			timeout = watchTimeout
@@ -109,6 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.confirmedAt = calledAt
+	s.recordWatchSuccess()
 	if c == nil || s.current != nil && c.Version <= s.current.Version {
 		return
 	}
