Bookkeeper: an index of queues by key

Callers that ask for the state of a job while operators change the configuration of a large fleet can get no answer within their time limit.

Applying a configuration looked up the queue of each open job by a scan of all queues, which concatenated host and path prefix for each comparison, and a submission did the same for its own queue. The leader renews its lease in the same loop.

Configuration.QueueByKey, the scan, is removed.

--- a/configuration.go
+++ b/configuration.go
@@ -116,16 +116,6 @@
 	Standby bool `cbor:"4,keyasint"`
 }
 
-// QueueByKey returns the queue with the given key, or nil.
-func (c *Configuration) QueueByKey(key string) *Queue {
-	for i := range c.Queues {
-		if c.Queues[i].Key() == key {
-			return &c.Queues[i]
-		}
-	}
-	return nil
-}
-
 // ErrConfiguration reports an invalid configuration.
 var ErrConfiguration = eris.New("carobrock: the configuration is not valid")
 
--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -9,6 +9,7 @@
 // rebuildIndexes rebuilds the worker records and the indexes from the decoded
 // jobs and workers.
 func (s *State) rebuildIndexes(workers []savedWorker) {
+	s.indexQueues()
 	for _, x := range workers {
 		rec := s.workerRecord(x.Incarnation)
 		rec.LastEndNumber, rec.EndedUnixMillis = x.LastEndNumber, x.EndedUnixMillis
@@ -50,6 +51,22 @@
 	slices.SortFunc(s.endedWorkers, s.compareWorkerEnds)
 }
 
+// indexQueues rebuilds the index of the queues. Of queues with the same key, which
+// Configuration.Check does not allow, the first one counts.
+func (s *State) indexQueues() {
+	s.queues = nil
+	if s.Configuration == nil {
+		return
+	}
+	s.queues = make(map[string]*carobrock.Queue, len(s.Configuration.Queues))
+	for i := range s.Configuration.Queues {
+		q := &s.Configuration.Queues[i]
+		if key := q.Key(); s.queues[key] == nil {
+			s.queues[key] = q
+		}
+	}
+}
+
 // indexRuns adds the active runs of j to the records of their workers.
 func (s *State) indexRuns(j *Job) {
 	j.forEachRun(func(ref carobrock.TaskRef, r *TaskRun) {
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -46,6 +46,8 @@
 	// Buckets holds the token buckets of the client accounts that have submitted jobs.
 	Buckets map[string]*TokenBucket `cbor:"10,keyasint,omitempty"`
 
+	// queues holds the queues of Configuration by key.
+	queues map[string]*carobrock.Queue
 	// Open holds the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
 	// Pending counts the jobs without assigned tasks by the key of their queue.
@@ -252,9 +254,10 @@
 		return
 	}
 	s.Configuration = c
+	s.indexQueues()
 	s.dropBuckets()
 	for _, j := range s.Open {
-		if q := c.QueueByKey(j.Spec.Queue); q != nil {
+		if q := s.queues[j.Spec.Queue]; q != nil {
 			j.Queue = *q
 		}
 	}
@@ -279,10 +282,8 @@
 		Occurrences: make([]*Occurrence, spec.Occurrences()), OpenOccurrences: spec.Occurrences(),
 		ExceedsRate: s.exceedsRate(spec.Account, atMillis),
 	}
-	if s.Configuration != nil {
-		if q := s.Configuration.QueueByKey(spec.Queue); q != nil {
-			j.Queue = *q
-		}
+	if q := s.queues[spec.Queue]; q != nil {
+		j.Queue = *q
 	}
 	s.Jobs[spec.ID] = j
 	s.Open = append(s.Open, j)
