Submitter: an index of queues by host and path prefix

Each request of a caller was compared with all queues, host and prefix, under the mutex of the gateway's configuration, which requests and the updates of the configuration share: 0.18 ms of a whole core for each request with 20,000 queues, several times that on a gateway with a small part of one.

The queues are found in a map by the folded host and then by the path's prefixes, one look-up for each length of a prefix that the host has. The index is built with the key table when a configuration is applied.

--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +53,7 @@
 	mu          sync.Mutex
 	current     *carobrock.Configuration
 	keys        *keyTable     // of current
+	queues      queueIndex    // of current
 	confirmedAt time.Duration // on the clock now
 	draining    bool
 }
@@ -113,6 +113,7 @@
 		return
 	}
 	s.current, s.keys = c, newKeyTable(c)
+	s.queues = newQueueIndex(c)
 	s.Logger.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Bool("requiresKeys", c.RequiresKeys).Int("accounts", len(c.Accounts)).
 		Msg("submitter: configuration applied")
 }
@@ -179,15 +180,7 @@
 	if s.current == nil {
 		return nil, "", ErrStale
 	}
-	var found *carobrock.Queue
-	for i := range s.current.Queues {
-		q := &s.current.Queues[i]
-		if strings.HasPrefix(path, q.PathPrefix) && strings.EqualFold(q.Host, host) &&
-			(found == nil || len(q.PathPrefix) > len(found.PathPrefix)) {
-			found = q
-		}
-	}
-	if found != nil {
+	if found := s.queues.match(host, path); found != nil {
 		return found, path[len(found.PathPrefix):], nil
 	}
 	if !s.isFresh() {
