Dispatcher: reads of jobs do not wait for placement rounds

A caller that asked for the state of a job waited for the mutex of the state and then for that of the dispatcher.

The state machine now keeps a summary of each job, and the numbers of pending jobs, under a lock of their own, which is held for a look-up or for the changes of one command. Apply updates them before it returns, so a read includes everything that was committed before it. JobState and PendingJobs read the summaries and then check leadership as before, but without the dispatcher's mutex: only the start of a term needs that. State.Pending is replaced by the summaries.

The tests that read State.Pending read PendingJobs instead. The comparison of random histories now compares the summaries with the state after each command, in the place of the pending jobs every 50 commands.

--- a/internal/bookkeeper/cancels_test.go
+++ b/internal/bookkeeper/cancels_test.go
@@ -57,7 +57,7 @@
 				if got := s.Jobs["job"].State; got != test.want {
 					t.Errorf("state %q, want %q", got, test.want)
 				}
-				if open, pending := len(s.Open), s.Pending[queue]; (open == 1) != (test.want == carobrock.JobPending) || open != pending {
+				if open, pending := len(s.Open), m.PendingJobs(queue); (open == 1) != (test.want == carobrock.JobPending) || open != pending {
 					t.Errorf("%d open and %d pending jobs", open, pending)
 				}
 			})
--- a/internal/bookkeeper/index.go
+++ b/internal/bookkeeper/index.go
@@ -34,9 +34,6 @@
 			continue
 		}
 		s.Open = append(s.Open, j)
-		if j.State == carobrock.JobPending {
-			s.Pending[j.Spec.Queue]++
-		}
 		s.indexRuns(j)
 		s.indexCrashedTasks(j)
 	}
--- a/internal/bookkeeper/job.go
+++ b/internal/bookkeeper/job.go
@@ -32,8 +32,10 @@
 
 // IsAccessibleTo reports whether a caller with the given client account, empty if it
 // has none, may refer to the job.
-func (j *Job) IsAccessibleTo(account string) bool {
-	return account == "" || j.Spec.Account == "" || j.Spec.Account == account
+func (j *Job) IsAccessibleTo(account string) bool { return j.summary().IsAccessibleTo(account) }
+
+func (j *Job) summary() JobSummary {
+	return JobSummary{Queue: j.Spec.Queue, Account: j.Spec.Account, State: j.State}
 }
 
 // forEachRun calls fn for each active run of the job.
--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -50,8 +50,6 @@
 	queues map[string]*carobrock.Queue
 	// Open holds the jobs that have not ended, in the order of submission.
 	Open []*Job `cbor:"-"`
-	// Pending counts the jobs without assigned tasks by the key of their queue.
-	Pending map[string]int `cbor:"-"`
 	// Suspects holds the tasks of open jobs under which workers have crashed or may
 	// have crashed, unless a later run was proven.
 	Suspects map[carobrock.TaskRef]bool `cbor:"-"`
@@ -69,6 +67,9 @@
 	earlyCancelled map[carobrock.JobKey]bool
 	// changeCount counts the changes of worker records.
 	changeCount uint64
+	// changedJobs holds the IDs of the jobs that were added, changed their state or were
+	// deleted since the summaries were updated.
+	changedJobs []string
 }
 
 // savedWorker is the form of a WorkerRecord in a snapshot. It is an element of a
@@ -110,8 +111,9 @@
 	// nil.
 	OnChange func()
 
-	mu    sync.Mutex
-	state State
+	mu        sync.Mutex
+	state     State
+	summaries summaries // of state, updated while mu is held
 }
 
 var _ carobrock.StateMachine = (*StateMachine)(nil)
@@ -128,6 +130,7 @@
 	}
 	m.state = State{}
 	m.state.initMaps()
+	m.summaries.replace(&m.state)
 }
 
 // initMaps creates the maps that are nil.
@@ -150,9 +153,6 @@
 	if s.Waves == nil {
 		s.Waves = map[int64]*Wave{}
 	}
-	if s.Pending == nil {
-		s.Pending = map[string]int{}
-	}
 	if s.usage == nil {
 		s.usage = map[string]*AccountUsage{}
 	}
@@ -178,6 +178,7 @@
 	}
 	m.mu.Lock()
 	res := m.state.applyCommand(c, m.RetentionMillis)
+	m.summaries.update(&m.state)
 	m.mu.Unlock()
 	if m.OnChange != nil {
 		m.OnChange()
@@ -287,7 +288,7 @@
 	}
 	s.Jobs[spec.ID] = j
 	s.Open = append(s.Open, j)
-	s.Pending[spec.Queue]++
+	s.changedJobs = append(s.changedJobs, spec.ID)
 	if s.earlyCancelled[carobrock.JobKey{ID: spec.ID, Queue: spec.Queue}] {
 		s.endJob(j, carobrock.JobCancelled, atMillis)
 	}
@@ -312,7 +313,7 @@
 func (s *State) markJobRunning(j *Job) {
 	if j.State == carobrock.JobPending {
 		j.State = carobrock.JobRunning
-		s.Pending[j.Spec.Queue]--
+		s.changedJobs = append(s.changedJobs, j.Spec.ID)
 	}
 }
 
@@ -322,10 +323,8 @@
 	if !j.IsOpen() {
 		return
 	}
-	if j.State == carobrock.JobPending {
-		s.Pending[j.Spec.Queue]--
-	}
 	j.State, j.EndedUnixMillis = state, atMillis
+	s.changedJobs = append(s.changedJobs, j.Spec.ID)
 	j.forEachRun(func(_ carobrock.TaskRef, r *TaskRun) { s.markChanged(r.Incarnation) })
 	j.Spec.Steps, j.Spec.Payload, j.Occurrences = nil, "", nil
 	maps.DeleteFunc(s.Suspects, func(ref carobrock.TaskRef, _ bool) bool { return ref.Job == j.Spec.ID })
@@ -350,6 +349,7 @@
 	n := 0
 	for n < len(s.ended) && s.ended[n].EndedUnixMillis < beforeMillis {
 		delete(s.Jobs, s.ended[n].Spec.ID)
+		s.changedJobs = append(s.changedJobs, s.ended[n].Spec.ID)
 		n++
 	}
 	s.ended = s.ended[n:]
@@ -380,6 +380,7 @@
 	m.state = *saved.State
 	m.state.initMaps()
 	m.state.rebuildIndexes(saved.Workers)
+	m.summaries.replace(&m.state)
 	m.mu.Unlock()
 	if m.OnChange != nil {
 		m.OnChange()
--- a/internal/bookkeeper/ledger_test.go
+++ b/internal/bookkeeper/ledger_test.go
@@ -305,8 +305,8 @@
 		t.Errorf("Submitted (-want +got):\n%s", diff)
 	}
 	l.View(func(s *bookkeeper.State) {
-		if len(s.Open) != 1 || s.Pending[queue] != 1 {
-			t.Errorf("%d open jobs and %d pending, want 1 and 1", len(s.Open), s.Pending[queue])
+		if len(s.Open) != 1 || l.PendingJobs(queue) != 1 {
+			t.Errorf("%d open jobs and %d pending, want 1 and 1", len(s.Open), l.PendingJobs(queue))
 		}
 	})
 }
@@ -334,7 +334,7 @@
 		t.Fatal(err)
 	}
 	restored.View(func(s *bookkeeper.State) {
-		if s.Jobs["job"].State != carobrock.JobCancelled || len(s.Open) != 1 || s.Pending[queue] != 1 || !s.OutOfServiceZones["az1"] {
+		if s.Jobs["job"].State != carobrock.JobCancelled || len(s.Open) != 1 || restored.PendingJobs(queue) != 1 || !s.OutOfServiceZones["az1"] {
 			t.Errorf("restored state differs: %+v", s)
 		}
 		if s.Workers[workerB].LastEndNumber != 4 {
--- a/internal/bookkeeper/restore_test.go
+++ b/internal/bookkeeper/restore_test.go
@@ -15,6 +15,8 @@
 const (
 	restoreSeeds    = 24
 	restoreCommands = 250
+	// jobIDs is the number of IDs of jobs, which are used again after jobs expired.
+	jobIDs = 8
 	// compareEvery is the number of commands between comparisons of the states.
 	compareEvery = 50
 	// restoreRetentionMillis is short, so that jobs expire within a history.
@@ -36,7 +38,7 @@
 	return carobrock.WorkerIncarnation{Name: string(rune('a' + g.IntN(4))), Started: int64(1 + g.IntN(2))}
 }
 
-func (g *commandGenerator) jobID() string { return fmt.Sprint("job", g.IntN(8)) }
+func (g *commandGenerator) jobID() string { return fmt.Sprint("job", g.IntN(jobIDs)) }
 
 func (g *commandGenerator) flip(oneIn int) bool { return g.IntN(oneIn) == 0 }
 
@@ -209,6 +211,11 @@
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Fatalf("command %d: results differ (-original +restored):\n%s", index, diff)
 		}
+		for _, m := range []*bookkeeper.StateMachine{original, restored} {
+			if diff := diffSummaries(m); diff != "" {
+				t.Fatalf("command %d: summaries (-of the state +read):\n%s", index, diff)
+			}
+		}
 		if index%compareEvery > 0 {
 			continue
 		}
@@ -222,9 +229,28 @@
 	a.View(func(x *bookkeeper.State) {
 		b.View(func(y *bookkeeper.State) {
 			diff = cmp.Diff(x, y, cmpopts.IgnoreUnexported(bookkeeper.State{}, carobrock.TaskAssignment{}), cmpopts.EquateEmpty(),
-				cmpopts.IgnoreFields(bookkeeper.WorkerRecord{}, "Version"), cmpopts.IgnoreFields(bookkeeper.TaskRun{}, "_"),
-				cmpopts.IgnoreMapEntries(func(_ string, pending int) bool { return pending == 0 }))
+				cmpopts.IgnoreFields(bookkeeper.WorkerRecord{}, "Version"), cmpopts.IgnoreFields(bookkeeper.TaskRun{}, "_"))
 		})
 	})
 	return diff
 }
+
+// diffSummaries compares what is read of the generator's jobs with the state.
+func diffSummaries(m *bookkeeper.StateMachine) string {
+	want, got := map[string]bookkeeper.JobSummary{}, map[string]bookkeeper.JobSummary{}
+	pending := 0
+	m.View(func(s *bookkeeper.State) {
+		for id, j := range s.Jobs {
+			want[id] = bookkeeper.JobSummary{Queue: j.Spec.Queue, Account: j.Spec.Account, State: j.State}
+			if j.State == carobrock.JobPending {
+				pending++
+			}
+		}
+	})
+	for i := range jobIDs {
+		if j, ok := m.JobSummary(fmt.Sprint("job", i)); ok {
+			got[fmt.Sprint("job", i)] = j
+		}
+	}
+	return cmp.Diff(want, got) + cmp.Diff(pending, m.PendingJobs(queue))
+}
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/locator"
 )
 
 // readState calls fn with the state, which includes everything committed before
@@ -18,6 +19,16 @@
 	return d.ensureLeader()
 }
 
+// checkLeader returns nil if this replica is the leader, else a
+// *locator.NotLeaderError. Unlike ensureLeader it does not wait for a placement round,
+// and it does not start a term.
+func (d *Dispatcher) checkLeader() error {
+	if _, ok := d.Leadership.Term(); !ok {
+		return &locator.NotLeaderError{Leader: d.Leadership.LeaderAddress()}
+	}
+	return nil
+}
+
 // SubmitJob implements carobrock.JobControl.
 func (d *Dispatcher) SubmitJob(ctx context.Context, spec *carobrock.JobSpec) (bool, error) {
 	if err := spec.Check(); err != nil {
@@ -57,20 +68,19 @@
 	return res.Cancelled[i], nil
 }
 
-// JobState implements carobrock.JobControl.
+// JobState implements carobrock.JobControl. It waits neither for a placement round nor
+// for a snapshot. Like readState it checks leadership after the read.
 func (d *Dispatcher) JobState(_ context.Context, q carobrock.JobQuery) (state carobrock.JobState, err error) {
-	err = d.readState(func(s *bookkeeper.State) {
-		if j := s.Jobs[q.ID]; j != nil && j.Spec.Queue == q.Queue && j.IsAccessibleTo(q.Account) {
-			state = j.State
-		}
-	})
-	return state, err
+	if j, ok := d.StateMachine.JobSummary(q.ID); ok && j.Queue == q.Queue && j.IsAccessibleTo(q.Account) {
+		state = j.State
+	}
+	return state, d.checkLeader()
 }
 
-// PendingJobs implements carobrock.JobControl.
-func (d *Dispatcher) PendingJobs(_ context.Context, queue string) (n int, err error) {
-	err = d.readState(func(s *bookkeeper.State) { n = s.Pending[queue] })
-	return n, err
+// PendingJobs implements carobrock.JobControl. It waits no longer than JobState.
+func (d *Dispatcher) PendingJobs(_ context.Context, queue string) (int, error) {
+	n := d.StateMachine.PendingJobs(queue)
+	return n, d.checkLeader()
 }
 
 // Configure implements carobrock.JobControl.
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -105,3 +105,10 @@
 
 // EncodedLength is encodedLength.
 func EncodedLength(s string) int { return encodedLength(s) }
+
+// HoldRound calls fn while it holds what a placement round holds.
+func (d *Dispatcher) HoldRound(fn func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.StateMachine.View(func(*bookkeeper.State) { fn() })
+}
