--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -112,3 +112,21 @@
 	defer d.mu.Unlock()
 	d.StateMachine.View(func(*bookkeeper.State) { fn() })
 }
+
+// PlanFullRound plans a round that considers all waiting tasks. The assignments are
+// not committed.
+func (d *Dispatcher) PlanFullRound(now time.Time) (assignments int) {
+	d.mu.Lock()
+	d.lastFullRound = time.Time{}
+	d.mu.Unlock()
+	c, _ := d.planRound(now)
+	if c == nil {
+		return 0
+	}
+	return len(c.Assign)
+}
+
+// RecordHeartbeat stores a heartbeat in the worker table.
+func (d *Dispatcher) RecordHeartbeat(r *carobrock.WorkerReport, now time.Time) {
+	d.recordHeartbeat(r, now)
+}
