Configuration: nodes fetch it in compressed parts

Callers of nodes with a link of 2 Mbit/s got no answer about accepted jobs while a configuration of 4,445 queues was in force, and these nodes never got it. Cause: a watch returned the whole configuration in one response. An attempt has 1 s, in which such a link carries 250 KB; each attempt began from the start, and the responses to other calls waited behind it in the same connection.

A watch now returns the version, size, digest and first part of the compressed configuration. The node fetches the others one at a time, 32 KiB each, so that no response waits for more than about 0.13 s behind a part. A failed part is fetched again; a transfer ends only after 5 s without a part, or if the leader does not hold the version any more. The leader compresses each version once and holds the 32 used last, up to 16 MiB, so that a transfer that has begun is completed while newer versions appear. The digest detects damaged and mixed parts, and the uncompressed size is bounded. A new leader with the same version in force continues the transfer. The copy that a node has is not confirmed during a transfer; the new one is confirmed as of the start of the poll that learned of it. Nodes of older builds use jobs/watch, which stays; with a leader of an older build a node falls back to it.

--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -22,6 +22,8 @@
 	methodConfigure     = "jobs/configure"
 	methodConfiguration = "jobs/configuration"
 	methodWatch         = "jobs/watch"
+	methodWatchParts    = "jobs/watchParts"
+	methodPart          = "jobs/configurationPart"
 	methodZoneVersion   = "jobs/zoneVersion"
 	methodZone          = "jobs/zone"
 	methodHeartbeat     = "jobs/heartbeat"
@@ -66,6 +68,7 @@
 // control. While this replica is not the leader, the methods of control must
 // return a NotLeaderError.
 func Handlers(control carobrock.JobControl) map[string]messenger.Handler {
+	parts := &partServer{control: control}
 	return map[string]messenger.Handler{
 		methodSubmit: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := &carobrock.JobSpec{}
@@ -99,10 +102,19 @@
 			var in any
 			return serveCall(body, &in, func() (any, error) { return control.Configuration(ctx) })
 		},
+		// Earlier releases know no parts.
 		methodWatch: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := int64(0)
 			return serveCall(body, &in, func() (any, error) { return control.WatchConfiguration(ctx, in) })
 		},
+		methodWatchParts: func(ctx context.Context, body []byte) ([]byte, error) {
+			in := int64(0)
+			return serveCall(body, &in, func() (any, error) { return parts.watch(ctx, in) })
+		},
+		methodPart: func(ctx context.Context, body []byte) ([]byte, error) {
+			in := &partRequest{}
+			return serveCall(body, in, func() (any, error) { return parts.serve(ctx, in) })
+		},
 		methodZoneVersion: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := ""
 			return serveCall(body, &in, func() (any, error) { return control.ZoneVersion(ctx, in) })
--- a/internal/submitter/status.go
+++ b/internal/submitter/status.go
@@ -22,13 +22,17 @@
 	FailedWatches int64  `json:"failedWatches"`
 	FailedInARow  int64  `json:"failedInARow"`
 	LastError     string `json:"lastError,omitempty"`
+	// Parts counts the parts of configurations that were fetched after the first one of
+	// each, Restarts the transfers that had to start again.
+	Parts    int64 `json:"parts"`
+	Restarts int64 `json:"restarts"`
 }
 
 // Status returns the present status of the configuration.
 func (s *Submitter) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	status := Status{Version: -1, FailedWatches: s.watches.failed, FailedInARow: s.watches.inARow, LastError: s.watches.lastError}
+	status := Status{Version: -1, FailedWatches: s.watches.failed, FailedInARow: s.watches.inARow, LastError: s.watches.lastError, Parts: s.watches.parts, Restarts: s.watches.restarts}
 	if s.current == nil {
 		return status
 	}
@@ -38,11 +42,12 @@
 	return status
 }
 
-// watchCounts counts the failed watch calls.
+// watchCounts counts the failed watch calls and the parts of configurations.
 type watchCounts struct {
-	failed, inARow int64
-	lastError      string
-	loggedAt       time.Time
+	parts, restarts int64
+	failed, inARow  int64
+	lastError       string
+	loggedAt        time.Time
 }
 
 // watchLogInterval is the minimum time between two log lines about failed watch calls.
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -77,13 +77,11 @@
 	for ctx.Err() == nil {
 		s.refusals.logSuppressed(s.Logger)
 		calledAt := s.now()
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		c, err := s.Control.WatchConfiguration(callCtx, s.currentVersion())
-		cancel()
+		c, err := s.watch(ctx, timeout)
 		if err != nil {
 			s.recordWatchFailure(err)
-			// A large configuration may take longer than the timeout of a short poll on a
-			// slow link.
+			// A large configuration, or its first part, may take longer than the timeout of
+			// a short poll on a slow link.
 			timeout = watchTimeout
 			_ = sleeper.Sleep(ctx, watchRetryDelay) // the loop checks ctx
 			continue
--- a/jobcontrol.go
+++ b/jobcontrol.go
@@ -1,6 +1,10 @@
 package carobrock
 
-import "context"
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
 
 // JobControl is the interface of the control group for jobs. Gateways, workers
 // and operators use it from any process. A call returns ErrNotApplied if it made
@@ -51,6 +55,29 @@
 	Accounts(ctx context.Context) ([]AccountStatus, error)
 }
 
+// TransferWatcher is implemented by a JobControl that receives the configuration in
+// parts, so that other calls do not wait until a slow link has carried all of it.
+type TransferWatcher interface {
+	// WatchTransfer is WatchConfiguration, but may return a transfer of the newer
+	// configuration instead, which is then larger than one part. At most one of the
+	// configuration and the transfer is not nil. If the first part is not valid, it
+	// returns an error that wraps ErrTransferLost.
+	WatchTransfer(ctx context.Context, afterVersion int64) (*Configuration, ConfigurationTransfer, error)
+}
+
+// ConfigurationTransfer is a transfer of one version of the configuration. It is for use
+// by one goroutine.
+type ConfigurationTransfer interface {
+	// Next fetches the next part and returns the configuration after the last one, nil
+	// before. After an error that wraps ErrTransferLost the transfer must be abandoned.
+	// After any other error the next call fetches the same part.
+	Next(ctx context.Context) (*Configuration, error)
+}
+
+// ErrTransferLost reports that the leader does not hold the version of a transfer any
+// more, or that the parts are damaged.
+var ErrTransferLost = eris.New("carobrock: the transfer of the configuration cannot be continued")
+
 // AccountStatus is what a client account has running and waiting.
 type AccountStatus struct {
 	// Name is the name of the account, empty for the jobs without an account.
