--- a/internal/submitter/slowlink_test.go
+++ b/internal/submitter/slowlink_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"runtime"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -226,18 +227,23 @@
 // attempt to transfer it starts from the beginning and ends after a second, and against
 // responses to other calls that wait behind the transfer.
 func TestLargeConfigurationReachesAGatewayOnASlowLink(t *testing.T) {
+	for _, queues := range []int{5000, 20_000} {
+		t.Run(strconv.Itoa(queues), func(t *testing.T) { testSlowLink(t, queues) })
+	}
+}
+
+func testSlowLink(t *testing.T, queues int) {
+	const (
+		readInterval   = 50 * time.Millisecond
+		readTimeout    = time.Second
+		changeInterval = 330 * time.Millisecond
+		changeTime     = 4 * time.Second
+	)
 	// The pool of timers of yamux may hold timers of another bubble. Two collections empty
 	// it.
 	runtime.GC()
 	runtime.GC()
 	synctest.Test(t, func(t *testing.T) {
-		const (
-			queues         = 5000
-			readInterval   = 50 * time.Millisecond
-			readTimeout    = time.Second
-			changeInterval = 330 * time.Millisecond
-			changeTime     = 4 * time.Second
-		)
 		group := conc.NewWaitGroup()
 		network := &slowNetwork{group: group, accept: make(chan net.Conn), closed: make(chan struct{})}
 		leader := &configuredLeader{nextChange: make(chan struct{})}
