Messenger: a failed call tells how long the other process was silent

Callers of the messenger could not tell a process that is slow, or a call whose own caller has gone, from a process that is frozen or cut off: all end with ErrNoResponse.

A session that this process has dialled records when something arrived, and the error of a call says for how long nothing has and whether the session is open. The interval of pings on these sessions is 250 ms instead of 1 s, so that an idle process is heard of within that time; accepted sessions keep 1 s.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -65,8 +65,8 @@
 	Handlers map[string]Handler
 	// OnMessage receives one-way messages. If nil, they are discarded.
 	OnMessage func(m *encoder.Message)
-	// PingInterval is the interval between pings of a session. If zero, it is
-	// 1 s.
+	// PingInterval is the interval between pings of a session that this process has
+	// dialled. If zero, it is 250 ms.
 	PingInterval time.Duration
 	// PingTimeout is the timeout of a ping, of a write and of the
 	// acknowledgement of a new stream. The session is closed if a ping or an
@@ -101,7 +101,7 @@
 		}
 	}
 	if ms.PingInterval == 0 {
-		ms.PingInterval = time.Second
+		ms.PingInterval = 250 * time.Millisecond
 	}
 	if ms.PingTimeout == 0 {
 		ms.PingTimeout = 2 * time.Second
@@ -169,7 +169,11 @@
 // the listener keeps failing.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// sessionConfig returns the yamux configuration of a session.
+// acceptedPingInterval is the interval between pings of a session that another process has
+// dialled. They only detect that the session is lost.
+const acceptedPingInterval = time.Second
+
+// sessionConfig returns the yamux configuration of a session that this process dials.
 func (ms *Messenger) sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = true
@@ -184,7 +188,9 @@
 
 // serveConn serves the streams of one incoming connection until it is closed.
 func (ms *Messenger) serveConn(ctx context.Context, conn *incomingSession) {
-	session, err := yamux.Server(ms.Traffic.countConn(conn), ms.sessionConfig())
+	config := ms.sessionConfig()
+	config.KeepAliveInterval = acceptedPingInterval
+	session, err := yamux.Server(ms.Traffic.countConn(conn), config)
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -125,6 +125,7 @@
 		checkCallErrors(t)
 		checkResponseOrder(t)
 		checkPanic(t)
+		checkSilence(t)
 	})
 }
 
@@ -234,6 +235,48 @@
 	}
 }
 
+// checkSilence guards against a call whose error does not tell a process that is slow, or
+// whose caller has gone, from one that is cut off.
+func checkSilence(t *testing.T) {
+	t.Helper()
+	const short, long, maxIdle = 100 * time.Millisecond, 900 * time.Millisecond, 300 * time.Millisecond
+	client, network := startPair(t, map[string]Handler{
+		"echo":  func(_ context.Context, body []byte) ([]byte, error) { return body, nil },
+		"never": func(context.Context, []byte) ([]byte, error) { time.Sleep(10 * time.Second); return nil, nil },
+	}, nil)
+	call := func(timeout time.Duration) *NoResponseError {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := client.Call(ctx, "server", "never", nil)
+		var noResponse *NoResponseError
+		if !errors.As(err, &noResponse) || !errors.Is(err, ErrNoResponse) {
+			t.Fatalf("error %v, want a NoResponseError", err)
+		}
+		return noResponse
+	}
+	if _, err := client.Call(context.Background(), "server", "echo", nil); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Second) // the session is idle
+	for _, timeout := range []time.Duration{short, long, short} {
+		if e := call(timeout); !e.IsConnected || e.Silence > maxIdle {
+			t.Errorf("call of %v to a slow process: connected %t, silent for %v, want at most %v", timeout, e.IsConnected, e.Silence, maxIdle)
+		}
+	}
+	network.silenceConns()
+	if e := call(short); e.Silence < short {
+		t.Errorf("call of %v to a process that is cut off: silent for %v", short, e.Silence)
+	}
+	if e := call(long); e.Silence < long {
+		t.Errorf("call of %v to a process that is cut off: silent for %v", long, e.Silence)
+	}
+	for start := time.Now(); call(short).IsConnected; {
+		if time.Since(start) > 5*time.Second {
+			t.Fatal("the session is still open after 5 s without a response to a ping")
+		}
+	}
+}
+
 // Guards against a call that outlives its context while another one connects.
 func TestCallIsBoundedWhileAnotherConnects(t *testing.T) {
 	const connectTime = 500 * time.Millisecond
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 
 	"github.com/carobrock/carobrock/internal/encoder"
@@ -36,7 +36,7 @@
 	connecting chan struct{}
 
 	mu          sync.Mutex
-	session     *yamux.Session
+	session     *dialledSession
 	lastDial    time.Time
 	lastDialErr error
 	closed      bool
@@ -67,7 +67,7 @@
 // openSession returns the open session to p and dials a new one if there is none.
 // After a failed attempt it returns the same error for minRedialInterval. It does not
 // wait longer than ctx allows for another call that is dialling.
-func (ms *Messenger) openSession(ctx context.Context, p *peer) (*yamux.Session, error) {
+func (ms *Messenger) openSession(ctx context.Context, p *peer) (*dialledSession, error) {
 	if session, err := p.currentSession(); session != nil || err != nil {
 		return session, err
 	}
@@ -86,7 +86,7 @@
 
 // currentSession returns the open session, the error of an attempt to dial less than
 // minRedialInterval ago, or neither.
-func (p *peer) currentSession() (*yamux.Session, error) {
+func (p *peer) currentSession() (*dialledSession, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -103,7 +103,7 @@
 
 // setSession records the result of an attempt to dial and returns it. A session that
 // was dialled while p was closed is closed.
-func (p *peer) setSession(session *yamux.Session, err error) (*yamux.Session, error) {
+func (p *peer) setSession(session *dialledSession, err error) (*dialledSession, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastDial, p.lastDialErr, p.session = time.Now(), err, session
@@ -115,14 +115,14 @@
 }
 
 // dial connects to address and opens a session.
-func (ms *Messenger) dial(ctx context.Context, address string) (*yamux.Session, error) {
+func (ms *Messenger) dial(ctx context.Context, address string) (*dialledSession, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := ms.Dial(ctx, address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "cannot connect to %s: %v", address, err)
 	}
-	session, err := yamux.Client(ms.Traffic.countConn(conn), ms.sessionConfig())
+	session, err := newDialledSession(ms.Traffic.countConn(conn), ms.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrapf(ErrNotSent, "cannot open a session with %s: %v", address, err)
@@ -131,7 +131,7 @@
 }
 
 // Call invokes method at address and returns the body of the response. It
-// returns an error that wraps ErrNotSent or ErrNoResponse, or a *RemoteError of
+// returns an error that wraps ErrNotSent, a *NoResponseError, or a *RemoteError of
 // the other process. If ctx has no deadline, the call times out after 10 s.
 func (ms *Messenger) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
 	if _, ok := ctx.Deadline(); !ok {
@@ -152,7 +152,7 @@
 	defer stop()
 	resp, err := ms.exchangeCall(ctx, stream, method, body)
 	if err != nil {
-		return nil, eris.Wrapf(ErrNoResponse, "%s at %s: %v", method, address, err)
+		return nil, &NoResponseError{IsConnected: !session.IsClosed(), Silence: session.silence(), text: fmt.Sprintf("%s at %s: %v", method, address, err)}
 	}
 	if resp.GetCode() != "" {
 		return nil, &RemoteError{Code: resp.GetCode(), Text: resp.GetText()}
