Locator: a call that ends early does not make its node leave the leader

Callers got no response although the leader was alive: one call of their node had ended because its own caller had left or had little time.

Locator.Call took each attempt without a response for a leader that does not respond, forgot it and refused it for 0.5 s, also when other replicas named it. All other calls of the node went round the other replicas meanwhile.

A replica is now refused only if nothing was heard of it for 0.5 s, its connection ended, or it could not be connected to; processes that are alive send something every 0.25 s. A leader that sends something is left only if it completes no call for 0.5 s, and other replicas may name it again. An attempt that was cut short before either could show changes nothing.

Before: --- FAIL: TestCallerThatLeavesDoesNotDelayOthers call beside one whose caller left: <nil> after 510ms, want a response at once --- FAIL: TestLeaderAfterFailedCall/late_response_beside_others {Calls:2 Failed:1 Attempts:2 Unanswered:1 Leader: Avoided:1}, want "b" as the leader and 0 replicas avoided (and caller_left, caller_left_while_connecting, outcome_unknown_at_the_deadline) After: 20 runs with the race detector pass; TestCallsLeaveAnUnresponsiveLeader and TestCallFindsTheLeader are unchanged. TestCallsLeaveAReplicaThatCompletesNone passes before and after: it guards the slower path of a process that is alive.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -38,9 +38,17 @@
 	// address of the leader.
 	retryInterval = 30 * time.Millisecond
 	// avoidTime is how long a replica that did not respond is not tried again if
-	// others are known, even if one of them names it as the leader: they notice the
-	// loss of a leader within about the same time.
+	// others are known. If it was silent, it is not tried even if one of them names it
+	// as the leader: they notice the loss of a leader within about the same time.
 	avoidTime = 500 * time.Millisecond
+	// silenceTime is how long a replica must have sent nothing before it is avoided, and
+	// how long a leader that sends something may complete no call before the other
+	// replicas are asked for the leader. Processes that are alive send something every
+	// 0.25 s.
+	silenceTime = 500 * time.Millisecond
+	// deadlineTolerance is how much earlier than the deadline of an attempt the other
+	// process may end it: it gets the time in whole milliseconds.
+	deadlineTolerance = 2 * time.Millisecond
 	// maxKnownAddresses limits the number of remembered addresses.
 	maxKnownAddresses = 32
 )
@@ -56,11 +64,17 @@
 	seeds          []string
 	knownAddresses []string // members first, then seeds, then older addresses; tried in this order
 	leader         string
-	// avoidUntil holds the times until which replicas that did not respond are
-	// avoided, by address.
-	avoidUntil map[string]time.Time
-	avoidLog   logger.LineLimiter
-	counts     Counts
+	leaderAnswered time.Time            // last call that the leader completed, or the time at which it was named
+	avoided        map[string]avoidance // by address
+	avoidLog       logger.LineLimiter
+	counts         Counts
+}
+
+// avoidance says until when a replica that did not respond is not tried if others are
+// known. If it was silent, it is not the leader either, even if others name it.
+type avoidance struct {
+	until    time.Time
+	isSilent bool
 }
 
 // Counts is a snapshot of the counters of a Locator.
@@ -73,7 +87,7 @@
 	Attempts   int64 `json:"attempts"`
 	Unanswered int64 `json:"unanswered"`
 	// Leader is the address of the leader, empty if it is not known. Avoided counts how
-	// often a replica was avoided because it had not responded.
+	// often a replica was avoided because nothing was heard of it.
 	Leader  string `json:"leader"`
 	Avoided int64  `json:"avoided"`
 }
@@ -98,6 +112,13 @@
 	}
 }
 
+// countUnanswered counts an attempt without a response.
+func (l *Locator) countUnanswered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Unanswered++
+}
+
 // SetSeeds replaces the configured seed addresses.
 func (l *Locator) SetSeeds(addresses []string) {
 	l.mu.Lock()
@@ -165,7 +186,7 @@
 	now := time.Now()
 	var candidates []string
 	for _, a := range l.knownAddresses {
-		if !now.Before(l.avoidUntil[a]) {
+		if !now.Before(l.avoided[a].until) {
 			candidates = append(candidates, a)
 		}
 	}
@@ -181,39 +202,76 @@
 	if l.leader == address {
 		return
 	}
+	l.leaderAnswered = time.Now()
 	l.Logger.Info().Str("leader", address).Str("before", l.leader).Msg("locator: leader changed")
 	l.leader = address
 }
 
-// avoid marks a replica that did not respond to a call of the given duration.
-func (l *Locator) avoid(address, method string, err error, took time.Duration) {
+// recordAnswer records that a replica has completed a call.
+func (l *Locator) recordAnswer(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == address {
+		l.leaderAnswered = time.Now()
+	}
+}
+
+// isSilent reports whether an attempt with context ctx and the given duration, which
+// ended without a response, shows that the replica is frozen, stopped or cut off. An
+// attempt that ended because its time was short or its caller has gone shows this only if
+// the replica has been silent for silenceTime.
+func isSilent(ctx context.Context, err error, took time.Duration) bool {
+	var noResponse *messenger.NoResponseError
+	if errors.As(err, &noResponse) {
+		return !noResponse.IsConnected || noResponse.Silence >= silenceTime
+	}
+	return !isCutShort(ctx) || took >= silenceTime
+}
+
+// isCutShort reports whether an attempt with context ctx has just ended because its time
+// was over or its caller had gone.
+func isCutShort(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && time.Until(deadline) < deadlineTolerance
+}
+
+// leave makes the following calls avoid a replica that did not respond to a call of the
+// given duration. If the replica is the leader and was not silent, it is kept if it has
+// completed another call within silenceTime.
+func (l *Locator) leave(address, method string, err error, took time.Duration, isSilent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.counts.Unanswered++
-	if !now.Before(l.avoidUntil[address]) {
+	if l.leader == address {
+		if !isSilent && now.Sub(l.leaderAnswered) < silenceTime {
+			return
+		}
+		l.leader = ""
+	}
+	if !now.Before(l.avoided[address].until) {
 		l.counts.Avoided++
 		if l.avoidLog.Admit(now) {
-			l.Logger.Warn().Str("replica", address).Str("method", method).Dur("took", took).Err(err).Int("suppressed", l.avoidLog.TakeSuppressed()).
-				Msg("locator: replica did not respond and is avoided")
+			l.Logger.Warn().Str("replica", address).Str("method", method).Dur("took", took).Err(err).Bool("silent", isSilent).
+				Int("suppressed", l.avoidLog.TakeSuppressed()).Msg("locator: replica did not respond and is avoided")
 		}
 	}
-	for a, until := range l.avoidUntil {
-		if now.After(until) {
-			delete(l.avoidUntil, a)
+	for a, avoided := range l.avoided {
+		if now.After(avoided.until) {
+			delete(l.avoided, a)
 		}
 	}
-	if l.avoidUntil == nil {
-		l.avoidUntil = map[string]time.Time{}
+	if l.avoided == nil {
+		l.avoided = map[string]avoidance{}
 	}
-	l.avoidUntil[address] = now.Add(avoidTime)
+	l.avoided[address] = avoidance{until: now.Add(avoidTime), isSilent: isSilent}
 }
 
 // adoptLeader sets the leader that a replica has named and reports whether it did.
-// It ignores an empty address and that of a replica that is avoided.
+// It ignores an empty address and that of a replica that was silent.
 func (l *Locator) adoptLeader(address string) bool {
 	l.mu.Lock()
-	isAvoided := time.Now().Before(l.avoidUntil[address])
+	a := l.avoided[address]
+	isAvoided := a.isSilent && time.Now().Before(a.until)
 	l.mu.Unlock()
 	if address == "" || isAvoided {
 		return false
@@ -249,14 +307,17 @@
 		began := time.Now()
 		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 		response, err := l.RPCClient.Call(attemptCtx, address, method, body)
-		cancel()
 		if err == nil {
+			cancel()
 			isAnswered = true
 			l.setLeader(address)
+			l.recordAnswer(address)
 			return response, nil
 		}
 		lastErr = err
-		if l.updateLeaderAfterError(address, method, err, time.Since(began), &outcomeUnknown) {
+		isRedirected := l.updateLeaderAfterError(attemptCtx, address, method, err, time.Since(began), &outcomeUnknown)
+		cancel()
+		if isRedirected {
 			continue
 		}
 		if isFinal(err) {
@@ -275,25 +336,33 @@
 	return nil, eris.Wrap(carobrock.ErrNotApplied, lastErr.Error())
 }
 
-// updateLeaderAfterError updates the leader after a failed attempt of the given
-// duration, sets outcomeUnknown if the call may have been executed, and reports whether the
+// updateLeaderAfterError updates the leader after a failed attempt with context ctx, of the
+// given duration, sets outcomeUnknown if the call may have been executed, and reports whether the
 // response contains the address of another replica, to which the call can be
 // sent without a delay.
-func (l *Locator) updateLeaderAfterError(address, method string, err error, took time.Duration, outcomeUnknown *bool) bool {
+func (l *Locator) updateLeaderAfterError(ctx context.Context, address, method string, err error, took time.Duration, outcomeUnknown *bool) bool {
 	var remote *messenger.RemoteError
 	if !errors.As(err, &remote) {
 		*outcomeUnknown = *outcomeUnknown || !errors.Is(err, messenger.ErrNotSent)
-		l.forgetLeader(address)
-		l.avoid(address, method, err, took)
+		l.countUnanswered()
+		if silent := isSilent(ctx, err, took); silent || took >= silenceTime {
+			l.leave(address, method, err, took, silent)
+		}
 		return false
 	}
 	switch remote.Code {
 	case codeOutcomeUnknown:
 		*outcomeUnknown = true
-		l.forgetLeader(address)
+		if !isCutShort(ctx) {
+			l.forgetLeader(address)
+		} else if took >= silenceTime {
+			l.leave(address, method, err, took, false)
+		}
 	case CodeNotLeader:
 		l.forgetLeader(address)
 		return remote.Text != address && l.adoptLeader(remote.Text)
+	default:
+		l.recordAnswer(address)
 	}
 	return false
 }
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/locator"
@@ -127,3 +128,146 @@
 		}
 	})
 }
+
+// Guards against calls that keep going to a replica that sends something and completes no
+// call, because it is the first known one. Other replicas may name it until they have
+// elected another leader.
+func TestCallsLeaveAReplicaThatCompletesNone(t *testing.T) {
+	const callTime = 900 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		hangAlive := func(ctx context.Context) ([]byte, error) {
+			<-ctx.Done()
+			return nil, &messenger.NoResponseError{IsConnected: true}
+		}
+		follower := func(ctx context.Context) ([]byte, error) {
+			if time.Since(began) < time.Second {
+				return redirectTo("a")(ctx)
+			}
+			return redirectTo("c")(ctx)
+		}
+		l := &locator.Locator{RPCClient: fakeReplicas{"a": hangAlive, "b": follower, "c": answerOK}, Logger: zerolog.Nop()}
+		l.SetSeeds([]string{"a", "b"})
+		for range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), callTime)
+			_, _ = l.Call(ctx, "m", nil)
+			cancel()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callTime)
+		defer cancel()
+		if _, err := l.Call(ctx, "m", nil); err != nil {
+			t.Errorf("%v after the start: %v", time.Since(began), err)
+		}
+	})
+}
+
+// Guards against a caller that leaves, whose call made a node avoid the leader, so that
+// the calls of all others found no replica for half a second.
+func TestCallerThatLeavesDoesNotDelayOthers(t *testing.T) {
+	const (
+		rounds, otherCalls = 20, 19
+		leavesAfter        = 100 * time.Millisecond
+	)
+	type leaves struct{}
+	synctest.Test(t, func(t *testing.T) {
+		leader := func(ctx context.Context) ([]byte, error) {
+			if ctx.Value(leaves{}) != nil {
+				return hangUntilTimeout(ctx)
+			}
+			return answerOK(ctx)
+		}
+		l := &locator.Locator{RPCClient: fakeReplicas{"a": redirectTo("b"), "b": leader}, Logger: zerolog.Nop()}
+		l.SetSeeds([]string{"a"})
+		group := conc.NewWaitGroup()
+		defer group.Wait()
+		for range rounds {
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.WithValue(context.Background(), leaves{}, true), leavesAfter)
+				defer cancel()
+				_, _ = l.Call(ctx, "m", nil)
+			})
+			for range otherCalls {
+				began := time.Now()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				_, err := l.Call(ctx, "m", nil)
+				cancel()
+				if took := time.Since(began); err != nil || took > 0 {
+					t.Fatalf("call beside one whose caller left: %v after %v, want a response at once", err, took)
+				}
+			}
+			time.Sleep(leavesAfter)
+		}
+		if c := l.Counts(); c.Leader != "b" || c.Avoided > 0 || c.Unanswered < rounds-1 {
+			t.Errorf("%+v, want b as the leader and no replica avoided", c)
+		}
+	})
+}
+
+// Guards against a leader that is left because a call to it was short or its response
+// late, and against one that is kept although it is silent.
+func TestLeaderAfterFailedCall(t *testing.T) {
+	fail := func(err error) func(context.Context) ([]byte, error) {
+		return func(ctx context.Context) ([]byte, error) {
+			<-ctx.Done()
+			return nil, err
+		}
+	}
+	const short, long = 100 * time.Millisecond, 900 * time.Millisecond
+	late := &messenger.NoResponseError{IsConnected: true, Silence: 250 * time.Millisecond}
+	silent := &messenger.NoResponseError{IsConnected: true, Silence: long}
+	for _, test := range []struct {
+		name          string
+		timeout       time.Duration
+		first         func(context.Context) ([]byte, error)
+		othersSucceed bool
+		wantLeader    string
+		wantAvoided   int64
+	}{
+		{"late response beside others", long, fail(late), true, "b", 0},
+		{"no response to any call", long, fail(late), false, "", 1},
+		{"caller left", short, fail(late), false, "b", 0},
+		{"caller left while connecting", short, fail(messenger.ErrNotSent), false, "b", 0},
+		{"no connection for long", long, fail(messenger.ErrNotSent), false, "", 1},
+		{"connection refused", short, func(context.Context) ([]byte, error) {
+			time.Sleep(short - 10*time.Millisecond) // no time is left for a second attempt
+			return nil, messenger.ErrNotSent
+		}, false, "", 1},
+		{"silent", long, fail(silent), true, "", 1},
+		{"silent before a short call", short, fail(silent), false, "", 1},
+		{"connection lost", short, fail(&messenger.NoResponseError{}), true, "", 1},
+		{"outcome unknown at the deadline", short, fail(&messenger.RemoteError{Code: "undecided"}), false, "b", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				isFirst := true
+				leader := func(ctx context.Context) ([]byte, error) {
+					if isFirst {
+						isFirst = false
+						return test.first(ctx)
+					}
+					return answerOK(ctx)
+				}
+				l := &locator.Locator{RPCClient: fakeReplicas{"b": leader}, Logger: zerolog.Nop()}
+				l.SetSeeds([]string{"a"}) // nothing listens there
+				l.AddLeader("b")
+				group := conc.NewWaitGroup()
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), test.timeout)
+					defer cancel()
+					_, _ = l.Call(ctx, "m", nil)
+				})
+				synctest.Wait()
+				time.Sleep(test.timeout - time.Millisecond)
+				if test.othersSucceed {
+					if _, err := l.Call(t.Context(), "m", nil); err != nil {
+						t.Error(err)
+					}
+				}
+				group.Wait()
+				if c := l.Counts(); c.Leader != test.wantLeader || c.Avoided != test.wantAvoided {
+					t.Errorf("%+v, want %q as the leader and %d replicas avoided", c, test.wantLeader, test.wantAvoided)
+				}
+			})
+		})
+	}
+}
