Locator: a late redirect does not replace a leader that has answered

A call that had gone to a follower before an election may get a response that names the previous leader after another call has found the new one. The locator adopted the previous leader for all calls of the node.

If the known leader has completed a call since the attempt began, it is kept, and the call goes there.

Before: --- FAIL: TestLateRedirectKeepsTheNewLeader call with a late redirect: messenger: no response to the call: carobrock: it is not known whether the change was made leader "", want c After: 20 runs with the race detector pass.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -64,7 +64,8 @@
 	seeds          []string
 	knownAddresses []string // members first, then seeds, then older addresses; tried in this order
 	leader         string
-	leaderAnswered time.Time            // last call that the leader completed, or the time at which it was named
+	leaderNamed    time.Time
+	leaderAnswered time.Time            // last call that the leader completed, zero if there was none since leaderNamed
 	avoided        map[string]avoidance // by address
 	avoidLog       logger.LineLimiter
 	counts         Counts
@@ -202,7 +203,7 @@
 	if l.leader == address {
 		return
 	}
-	l.leaderAnswered = time.Now()
+	l.leaderNamed, l.leaderAnswered = time.Now(), time.Time{}
 	l.Logger.Info().Str("leader", address).Str("before", l.leader).Msg("locator: leader changed")
 	l.leader = address
 }
@@ -243,7 +244,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	if l.leader == address {
-		if !isSilent && now.Sub(l.leaderAnswered) < silenceTime {
+		if !isSilent && (now.Sub(l.leaderAnswered) < silenceTime || now.Sub(l.leaderNamed) < silenceTime) {
 			return
 		}
 		l.leader = ""
@@ -289,6 +290,13 @@
 	}
 }
 
+// hasLeaderAnsweredSince reports whether the known leader has completed a call after t.
+func (l *Locator) hasLeaderAnsweredSince(t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leader != "" && l.leaderAnswered.After(t)
+}
+
 // Call sends an idempotent call to the leader and retries until the leader
 // responds or ctx ends. It returns an error that wraps carobrock.ErrNotApplied
 // if no replica can have executed the call, and otherwise one that wraps
@@ -337,9 +345,8 @@
 }
 
 // updateLeaderAfterError updates the leader after a failed attempt with context ctx, of the
-// given duration, sets outcomeUnknown if the call may have been executed, and reports whether the
-// response contains the address of another replica, to which the call can be
-// sent without a delay.
+// given duration, sets outcomeUnknown if the call may have been executed, and reports whether
+// another replica is known to be the leader, to which the call can be sent without a delay.
 func (l *Locator) updateLeaderAfterError(ctx context.Context, address, method string, err error, took time.Duration, outcomeUnknown *bool) bool {
 	var remote *messenger.RemoteError
 	if !errors.As(err, &remote) {
@@ -360,6 +367,9 @@
 		}
 	case CodeNotLeader:
 		l.forgetLeader(address)
+		if l.hasLeaderAnsweredSince(time.Now().Add(-took)) {
+			return true // the response may be older than what is known
+		}
 		return remote.Text != address && l.adoptLeader(remote.Text)
 	default:
 		l.recordAnswer(address)
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -271,3 +271,34 @@
 		})
 	}
 }
+
+// Guards against a response that names the previous leader and arrives after a call has
+// found the new one.
+func TestLateRedirectKeepsTheNewLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lateRedirect := func(ctx context.Context) ([]byte, error) {
+			time.Sleep(300 * time.Millisecond)
+			return redirectTo("a")(ctx)
+		}
+		l := &locator.Locator{RPCClient: fakeReplicas{"a": hangUntilTimeout, "b": lateRedirect, "c": answerOK}, Logger: zerolog.Nop()}
+		l.SetSeeds([]string{"b"})
+		group := conc.NewWaitGroup()
+		defer group.Wait()
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+			defer cancel()
+			if _, err := l.Call(ctx, "m", nil); err != nil {
+				t.Errorf("call with a late redirect: %v", err)
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+		l.AddLeader("c")
+		if _, err := l.Call(t.Context(), "m", nil); err != nil {
+			t.Error(err)
+		}
+		group.Wait()
+		if leader := l.Leader(); leader != "c" {
+			t.Errorf("leader %q, want c", leader)
+		}
+	})
+}
