Messenger: a caller that leaves while it connects does not fail other calls

An attempt to connect that ended because its own caller had left was recorded like one that the other process refused, and all calls to that process failed with its error for 0.1 s.

Such an attempt is not recorded; the next call that waits connects itself.

Before: --- FAIL: TestCallAfterCutShortConnect call that waited for the connection: cannot connect to server: context canceled: messenger: call not sent After: 20 runs with the race detector pass.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -312,3 +312,44 @@
 		t.Errorf("closing the messenger took %v", took)
 	}
 }
+
+// Guards against a caller that leaves while it connects, whose attempt failed the calls
+// of others that waited for the connection.
+func TestCallAfterCutShortConnect(t *testing.T) {
+	network := newPipeNetwork()
+	defer func() { _ = network.Close() }()
+	dialing := make(chan struct{}, 2)
+	isFirst := true
+	client := &Messenger{Logger: zerolog.Nop(), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		dialing <- struct{}{}
+		if isFirst { // dials are not concurrent
+			isFirst = false
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return network.dial(ctx, address)
+	}}
+	server := &Messenger{Listener: network, Logger: zerolog.Nop(), Handlers: map[string]Handler{
+		"echo": func(_ context.Context, body []byte) ([]byte, error) { return body, nil },
+	}}
+	runCtx, stop := context.WithCancel(context.Background())
+	group := conc.NewWaitGroup()
+	defer group.Wait()
+	defer stop()
+	for _, ms := range []*Messenger{server, client} {
+		ms.Prepare()
+		group.Go(func() { _ = ms.Run(runCtx) })
+	}
+	leaving, leave := context.WithCancel(context.Background())
+	calls := conc.NewWaitGroup()
+	calls.Go(func() { _, _ = client.Call(leaving, "server", "echo", nil) })
+	<-dialing
+	calls.Go(func() {
+		if _, err := client.Call(context.Background(), "server", "echo", nil); err != nil {
+			t.Errorf("call that waited for the connection: %v", err)
+		}
+	})
+	time.Sleep(20 * time.Millisecond) // the second call waits
+	leave()
+	calls.Wait()
+}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -65,8 +65,9 @@
 }
 
 // openSession returns the open session to p and dials a new one if there is none.
-// After a failed attempt it returns the same error for minRedialInterval. It does not
-// wait longer than ctx allows for another call that is dialling.
+// After a failed attempt that ctx did not cut short it returns the same error for
+// minRedialInterval. It does not wait longer than ctx allows for another call that is
+// dialling.
 func (ms *Messenger) openSession(ctx context.Context, p *peer) (*dialledSession, error) {
 	if session, err := p.currentSession(); session != nil || err != nil {
 		return session, err
@@ -81,9 +82,18 @@
 		return session, err
 	}
 	session, err := ms.dial(ctx, p.address)
+	if err != nil && hasEnded(ctx) {
+		return nil, err // says nothing to the calls that wait
+	}
 	return p.setSession(session, err)
 }
 
+// hasEnded reports whether ctx is done or its deadline has passed.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // currentSession returns the open session, the error of an attempt to dial less than
 // minRedialInterval ago, or neither.
 func (p *peer) currentSession() (*dialledSession, error) {
