Messenger: a large message may take as long as it makes progress

A frame is written in parts of 32 KiB, each of which the other process must take within 2 s. A process that takes nothing is dropped as before. A request is still bounded by the time of its call.

--- /dev/null
+++ b/internal/messenger/link_test.go
@@ -0,0 +1,113 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/carobrock/carobrock/internal/encoder"
+)
+
+const (
+	slowLinkBytesPerSecond = 250_000 // 2 Mbit/s
+	slowLinkPieceBytes     = 1 << 10
+	slowLinkBufferBytes    = 32 << 10
+)
+
+// slowConn is a connection that sends a number of bytes per second, with a buffer of
+// slowLinkBufferBytes.
+type slowConn struct {
+	net.Conn
+	buffer    chan []byte
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func newSlowConn(group *conc.WaitGroup, conn net.Conn) *slowConn {
+	s := &slowConn{Conn: conn, buffer: make(chan []byte, slowLinkBufferBytes/slowLinkPieceBytes), closed: make(chan struct{})}
+	group.Go(func() {
+		for {
+			select {
+			case piece := <-s.buffer:
+				time.Sleep(time.Duration(len(piece)) * time.Second / slowLinkBytesPerSecond)
+				_, _ = s.Conn.Write(piece) // fails after Close
+			case <-s.closed:
+				return
+			}
+		}
+	})
+	return s
+}
+
+func (s *slowConn) Write(p []byte) (int, error) {
+	for rest := p; len(rest) > 0; {
+		n := min(len(rest), slowLinkPieceBytes)
+		select {
+		case s.buffer <- append([]byte(nil), rest[:n]...):
+		case <-s.closed:
+			return 0, net.ErrClosed
+		}
+		rest = rest[n:]
+	}
+	return len(p), nil
+}
+
+func (s *slowConn) Close() error {
+	s.closeOnce.Do(func() { close(s.closed) })
+	return s.Conn.Close()
+}
+
+// startSlowPair starts a server and a client that is connected to it by slow links.
+func startSlowPair(t *testing.T, handlers map[string]Handler, onMessage func(*encoder.Message)) (client *Messenger, dials *atomic.Int64) {
+	t.Helper()
+	network := newPipeNetwork()
+	group := conc.NewWaitGroup()
+	dials = &atomic.Int64{}
+	server := &Messenger{Listener: network, Handlers: handlers, OnMessage: onMessage, Logger: zerolog.Nop()}
+	client = &Messenger{Logger: zerolog.Nop(), Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+		dials.Add(1)
+		near, far := net.Pipe()
+		select {
+		case network.accept <- newSlowConn(group, far):
+			return newSlowConn(group, near), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	for _, ms := range []*Messenger{server, client} {
+		ms.Prepare()
+		group.Go(func() { _ = ms.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		time.Sleep(time.Minute) // lets the timers of yamux expire, which ends its goroutines
+	})
+	return client, dials
+}
+
+// checkLargeMessageOnSlowLink guards against a snapshot that never arrives because its
+// transfer takes longer than a fixed time.
+func checkLargeMessageOnSlowLink(t *testing.T) {
+	t.Helper()
+	const snapshotBytes = 4 << 20
+	const maxTime = 3 * snapshotBytes / 2 * time.Second / slowLinkBytesPerSecond
+	received := make(chan int, 1)
+	client, dials := startSlowPair(t, nil, func(m *encoder.Message) { received <- len(m.GetSnapshot().GetData()) })
+	client.Send("server", &encoder.Message{Snapshot: &encoder.Snapshot{Data: make([]byte, snapshotBytes)}})
+	select {
+	case n := <-received:
+		if n != snapshotBytes || dials.Load() != 1 {
+			t.Errorf("%d bytes arrived on %d connections, want %d on one", n, dials.Load(), snapshotBytes)
+		}
+	case <-time.After(maxTime):
+		t.Errorf("no snapshot of %d bytes arrived within %v", snapshotBytes, maxTime)
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -68,7 +68,7 @@
 	// PingInterval is the interval between pings of a session that this process has
 	// dialled. If zero, it is 250 ms.
 	PingInterval time.Duration
-	// PingTimeout is the timeout of a ping, of a write and of the
+	// PingTimeout is the timeout of a ping, of a part of a frame and of the
 	// acknowledgement of a new stream. The session is closed if a ping or an
 	// acknowledgement times out. If zero, it is 2 s.
 	PingTimeout time.Duration
@@ -271,8 +271,7 @@
 			resp.Code, resp.Text = remote.Code, remote.Text
 		}
 	}
-	_ = stream.SetWriteDeadline(time.Now().Add(ms.PingTimeout))
-	if err := writeFrame(stream, resp); err != nil {
+	if err := writeFrame(&partWriter{stream: stream, partTimeout: ms.PingTimeout}, resp); err != nil {
 		ms.Logger.Debug().Err(err).Str("method", call.GetMethod()).Msg("messenger: cannot send the response")
 	}
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -126,6 +126,7 @@
 		checkResponseOrder(t)
 		checkPanic(t)
 		checkSilence(t)
+		checkLargeMessageOnSlowLink(t)
 	})
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -179,7 +179,7 @@
 	if _, err := stream.Write([]byte{streamCall}); err != nil {
 		return nil, err
 	}
-	if err := writeFrame(stream, call); err != nil {
+	if err := writeFrame(&partWriter{stream: stream}, call); err != nil {
 		return nil, err
 	}
 	resp := &encoder.Answer{}
@@ -237,8 +237,7 @@
 				stream, err = ms.openOneWayStream(ctx, p)
 			}
 			if err == nil {
-				_ = stream.SetWriteDeadline(time.Now().Add(ms.PingTimeout))
-				err = writeFrame(stream, m)
+				err = writeFrame(&partWriter{stream: stream, partTimeout: ms.PingTimeout}, m)
 			}
 			if err != nil && stream != nil {
 				_ = stream.Close()
