Messenger: small calls do not wait behind large responses on a slow link

Four responses of 500 KB on a link of 2 Mbit/s failed each other and all calls beside them: yamux sends what is written to a stream as a whole and in order, so that new streams, which are accepted one after the other, small responses and pings waited for the large ones.

The size of a part follows the time that parts wait and take on the session, with a goal of 16 ms, from 1 to 32 KiB.

Before (parts of 32 KiB): --- FAIL: TestMessenger call of echo: echo at server: i/o deadline reached: messenger: no response to the call small calls beside 4 responses of 500000 bytes took up to 900ms After: they take up to 315 ms.

--- a/internal/messenger/intake.go
+++ b/internal/messenger/intake.go
@@ -132,8 +132,9 @@
 // incomingSession is an accepted connection.
 type incomingSession struct {
 	net.Conn
-	intake *intake
-	since  time.Time
+	intake    *intake
+	since     time.Time
+	partBytes atomic.Int64 // size of the next part of a frame
 
 	header [sessionHeaderBytes]byte
 	filled int    // bytes of header that have arrived
--- a/internal/messenger/link_test.go
+++ b/internal/messenger/link_test.go
@@ -111,3 +111,48 @@
 		t.Errorf("no snapshot of %d bytes arrived within %v", snapshotBytes, maxTime)
 	}
 }
+
+// checkSmallCallsBesideLargeResponses guards against small calls that wait behind large
+// responses on a slow link for longer than they have time, and against the end of the
+// session because its pings wait.
+func checkSmallCallsBesideLargeResponses(t *testing.T) {
+	t.Helper()
+	const (
+		responses, responseBytes = 4, 500_000
+		rounds, callsAtOnce      = 20, 5
+		callTime                 = 900 * time.Millisecond // of a caller's call
+	)
+	client, dials := startSlowPair(t, map[string]Handler{
+		"large": func(context.Context, []byte) ([]byte, error) { return make([]byte, responseBytes), nil },
+		"echo":  func(_ context.Context, body []byte) ([]byte, error) { return body, nil },
+	}, nil)
+	group := conc.NewWaitGroup()
+	call := func(method string, timeout time.Duration) time.Duration {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		if _, err := client.Call(ctx, "server", method, []byte("x")); err != nil {
+			t.Errorf("call of %s: %v", method, err)
+		}
+		return time.Since(began)
+	}
+	for range responses {
+		group.Go(func() { call("large", 20*time.Second) })
+	}
+	var longest atomic.Int64
+	for range rounds {
+		time.Sleep(200 * time.Millisecond)
+		for range callsAtOnce {
+			group.Go(func() {
+				took := int64(call("echo", callTime))
+				for old := longest.Load(); took > old && !longest.CompareAndSwap(old, took); old = longest.Load() {
+				}
+			})
+		}
+	}
+	group.Wait()
+	t.Logf("small calls beside %d responses of %d bytes took up to %v", responses, responseBytes, time.Duration(longest.Load()))
+	if dials.Load() != 1 {
+		t.Errorf("%d connections dialled, want one", dials.Load())
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -271,7 +271,8 @@
 			resp.Code, resp.Text = remote.Code, remote.Text
 		}
 	}
-	if err := writeFrame(&partWriter{stream: stream, partTimeout: ms.PingTimeout}, resp); err != nil {
+	w := &partWriter{stream: stream, partBytes: &stream.session.partBytes, partTimeout: ms.PingTimeout}
+	if err := writeFrame(w, resp); err != nil {
 		ms.Logger.Debug().Err(err).Str("method", call.GetMethod()).Msg("messenger: cannot send the response")
 	}
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -127,6 +127,7 @@
 		checkPanic(t)
 		checkSilence(t)
 		checkLargeMessageOnSlowLink(t)
+		checkSmallCallsBesideLargeResponses(t)
 	})
 }
 
--- a/internal/messenger/parts.go
+++ b/internal/messenger/parts.go
@@ -2,17 +2,38 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
-// maxPartBytes is the size of the parts in which a frame is sent.
-const maxPartBytes = 32 << 10
+const (
+	// Limits of the size of a part. Smaller frames are sent whole.
+	minPartBytes = 1 << 10
+	maxPartBytes = 32 << 10
+	// maxPartTime is the time that a part may wait to be sent and take before smaller ones
+	// are used. yamux accepts streams one after the other, each after such a wait, and the
+	// calls of a process have less than a second.
+	maxPartTime = 16 * time.Millisecond
+)
 
-// partWriter writes frames to a stream of a session in parts, each of which the other
-// process must take within a time. A frame of any size so takes as long as it needs,
-// unless the other process takes nothing.
+// nextPartBytes returns the size of the part after one of a size that took a time to send.
+func nextPartBytes(size int64, took time.Duration) int64 {
+	switch {
+	case took > maxPartTime:
+		size /= 2
+	case took < maxPartTime/4:
+		size *= 2
+	}
+	return min(max(size, minPartBytes), maxPartBytes)
+}
+
+// partWriter writes frames to a stream of a session. yamux sends what is written to a
+// stream as a whole, and everything else on the session waits meanwhile: other frames, and
+// pings, without which the session is closed. A large frame is therefore written in parts.
 type partWriter struct {
 	stream net.Conn
+	// partBytes is the size of the next part on the session.
+	partBytes *atomic.Int64
 	// partTimeout is the time within which the other process must take a part. If zero,
 	// the deadline of the stream applies.
 	partTimeout time.Duration
@@ -24,7 +45,12 @@
 		if w.partTimeout > 0 {
 			_ = w.stream.SetWriteDeadline(time.Now().Add(w.partTimeout)) // never fails
 		}
-		n, err := w.stream.Write(p[sent:min(sent+maxPartBytes, len(p))])
+		size := max(w.partBytes.Load(), minPartBytes)
+		began := time.Now()
+		n, err := w.stream.Write(p[sent:min(sent+int(size), len(p))])
+		if n >= minPartBytes {
+			w.partBytes.Store(nextPartBytes(size, time.Since(began)))
+		}
 		sent += n
 		if err != nil {
 			return sent, err
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -160,7 +161,7 @@
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
-	resp, err := ms.exchangeCall(ctx, stream, method, body)
+	resp, err := ms.exchangeCall(ctx, stream, &session.partBytes, method, body)
 	if err != nil {
 		return nil, &NoResponseError{IsConnected: !session.IsClosed(), Silence: session.silence(), text: fmt.Sprintf("%s at %s: %v", method, address, err)}
 	}
@@ -170,8 +171,8 @@
 	return resp.GetBody(), nil
 }
 
-// exchangeCall sends a call on a stream and reads the response.
-func (ms *Messenger) exchangeCall(ctx context.Context, stream net.Conn, method string, body []byte) (*encoder.Answer, error) {
+// exchangeCall sends a call on a stream in parts of partBytes and reads the response.
+func (ms *Messenger) exchangeCall(ctx context.Context, stream net.Conn, partBytes *atomic.Int64, method string, body []byte) (*encoder.Answer, error) {
 	deadline, _ := ctx.Deadline()
 	_ = stream.SetDeadline(deadline)
 	call := &encoder.Call{Id: ms.nextCallID(), Method: method, Body: body}
@@ -179,7 +180,7 @@
 	if _, err := stream.Write([]byte{streamCall}); err != nil {
 		return nil, err
 	}
-	if err := writeFrame(&partWriter{stream: stream}, call); err != nil {
+	if err := writeFrame(&partWriter{stream: stream, partBytes: partBytes}, call); err != nil {
 		return nil, err
 	}
 	resp := &encoder.Answer{}
@@ -237,7 +238,7 @@
 				stream, err = ms.openOneWayStream(ctx, p)
 			}
 			if err == nil {
-				err = writeFrame(&partWriter{stream: stream, partTimeout: ms.PingTimeout}, m)
+				err = writeFrame(&partWriter{stream: stream, partBytes: stream.partBytes, partTimeout: ms.PingTimeout}, m)
 			}
 			if err != nil && stream != nil {
 				_ = stream.Close()
@@ -259,7 +260,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := &oneWayStream{Conn: opened, ended: make(chan struct{})}
+	stream := &oneWayStream{Conn: opened, partBytes: &session.partBytes, ended: make(chan struct{})}
 	ms.group.Go(stream.watch)
 	_, err = stream.Write([]byte{streamOneWay})
 	return stream, err
@@ -268,7 +269,8 @@
 // oneWayStream is a stream for one-way messages, on which the other process sends nothing.
 type oneWayStream struct {
 	net.Conn
-	ended chan struct{} // closed when the other process has closed the stream
+	partBytes *atomic.Int64
+	ended     chan struct{} // closed when the other process has closed the stream
 }
 
 // watch closes the stream when the other process does. yamux itself would let it be
--- a/internal/messenger/silence.go
+++ b/internal/messenger/silence.go
@@ -32,8 +32,9 @@
 // arrived.
 type dialledSession struct {
 	*yamux.Session
-	start   time.Time
-	arrived atomic.Int64 // nanoseconds from start to the last arrival
+	partBytes atomic.Int64 // size of the next part of a frame
+	start     time.Time
+	arrived   atomic.Int64 // nanoseconds from start to the last arrival
 }
 
 // newDialledSession opens a session on a connection that has just been established.
