Messenger: a response is given up when the time of its call is over

A response whose caller had given up still took a slow link until the window of its stream was full: 264 KB for a call of 0.3 s, a second on a link of 2 Mbit/s.

The writer ends after the part in which the time of the call ends. A response of one part is sent as before.

--- a/internal/messenger/link_test.go
+++ b/internal/messenger/link_test.go
@@ -156,3 +156,24 @@
 		t.Errorf("%d connections dialled, want one", dials.Load())
 	}
 }
+
+// checkAbandonedResponse guards against a link that is kept busy with a response whose
+// caller has no time left.
+func checkAbandonedResponse(t *testing.T) {
+	t.Helper()
+	const (
+		callTime = 300 * time.Millisecond
+		// What is queued when the time is over: the buffer, and one part with its headers.
+		maxBytes = int64(callTime)*slowLinkBytesPerSecond/int64(time.Second) + slowLinkBufferBytes + maxPartBytes + 1000
+	)
+	client, _ := startSlowPair(t, map[string]Handler{
+		"large": func(context.Context, []byte) ([]byte, error) { return make([]byte, 1_000_000), nil },
+	}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	_, _ = client.Call(ctx, "server", "large", nil)
+	time.Sleep(5 * time.Second)
+	if n := client.Traffic.Received.Load(); n > maxBytes {
+		t.Errorf("%d bytes arrived for a call of %v, want at most %d", n, callTime, maxBytes)
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -271,7 +271,7 @@
 			resp.Code, resp.Text = remote.Code, remote.Text
 		}
 	}
-	w := &partWriter{stream: stream, partBytes: &stream.session.partBytes, partTimeout: ms.PingTimeout}
+	w := &partWriter{stream: stream, partBytes: &stream.session.partBytes, partTimeout: ms.PingTimeout, timeOver: ctx.Done()}
 	if err := writeFrame(w, resp); err != nil {
 		ms.Logger.Debug().Err(err).Str("method", call.GetMethod()).Msg("messenger: cannot send the response")
 	}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -128,6 +128,7 @@
 		checkSilence(t)
 		checkLargeMessageOnSlowLink(t)
 		checkSmallCallsBesideLargeResponses(t)
+		checkAbandonedResponse(t)
 	})
 }
 
--- a/internal/messenger/parts.go
+++ b/internal/messenger/parts.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,9 @@
 	return min(max(size, minPartBytes), maxPartBytes)
 }
 
+// errTimeOver reports that the time of a call ended while its response was being sent.
+var errTimeOver = errors.New("messenger: the time of the call is over")
+
 // partWriter writes frames to a stream of a session. yamux sends what is written to a
 // stream as a whole, and everything else on the session waits meanwhile: other frames, and
 // pings, without which the session is closed. A large frame is therefore written in parts.
@@ -37,6 +41,8 @@
 	// partTimeout is the time within which the other process must take a part. If zero,
 	// the deadline of the stream applies.
 	partTimeout time.Duration
+	// timeOver ends a frame after one of its parts. It may be nil.
+	timeOver <-chan struct{}
 }
 
 // Write implements io.Writer.
@@ -55,6 +61,13 @@
 		if err != nil {
 			return sent, err
 		}
+		select {
+		case <-w.timeOver:
+			if sent < len(p) {
+				return sent, errTimeOver
+			}
+		default:
+		}
 	}
 	return len(p), nil
 }
