Messenger: small messages do not wait for a large one

Messages above 4 KiB, which receivers decode apart from the others, have a queue and a stream of their own, and a message that has waited for 10 s is discarded.

The order of the messages of two streams is not kept, which carobrock.Transport allows.

--- a/internal/messenger/intake.go
+++ b/internal/messenger/intake.go
@@ -42,7 +42,7 @@
 	decodeWait = time.Second
 	// queuedTime is how long a message is assumed to wait in the queue of its receiver,
 	// which is served between writes to the disk. Messages up to smallMessageBytes are
-	// not counted.
+	// not counted. Their sender has a stream of its own for larger ones.
 	queuedTime        = 200 * time.Millisecond
 	smallMessageBytes = 4 << 10
 	// smallMessagesShare is the part of the memory for decoding messages that is kept for
--- a/internal/messenger/link_test.go
+++ b/internal/messenger/link_test.go
@@ -177,3 +177,40 @@
 		t.Errorf("%d bytes arrived for a call of %v, want at most %d", n, callTime, maxBytes)
 	}
 }
+
+// checkHeartbeatsBesideSnapshot guards against heartbeats that wait behind a large message
+// on a slow link for longer than the timeout of an election, and against copies of a
+// message that was repeated during its transfer and that take the link afterwards.
+func checkHeartbeatsBesideSnapshot(t *testing.T) {
+	t.Helper()
+	const (
+		snapshotBytes, copies = 4 << 20, 6
+		interval              = 100 * time.Millisecond
+		electionTimeout       = 700 * time.Millisecond
+		transferTime          = snapshotBytes * time.Second / slowLinkBytesPerSecond
+	)
+	var mu sync.Mutex
+	var longest time.Duration
+	snapshots, last := 0, time.Now()
+	client, _ := startSlowPair(t, nil, func(m *encoder.Message) {
+		mu.Lock()
+		defer mu.Unlock()
+		if m.GetSnapshot() != nil {
+			snapshots++
+			return
+		}
+		longest, last = max(longest, time.Since(last)), time.Now()
+	})
+	snapshot := &encoder.Message{Snapshot: &encoder.Snapshot{Data: make([]byte, snapshotBytes)}}
+	for began := time.Now(); time.Since(began) < 4*transferTime; time.Sleep(interval) {
+		if elapsed := time.Since(began); elapsed < transferTime && elapsed%(transferTime/copies) < interval {
+			client.Send("server", snapshot)
+		}
+		client.Send("server", &encoder.Message{Term: 1})
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if longest > electionTimeout || snapshots < 1 || snapshots > 2 {
+		t.Errorf("no heartbeat for %v, want at most %v; %d snapshots, want one or two", longest, electionTimeout, snapshots)
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -119,7 +119,8 @@
 	ms.mu.Lock()
 	ms.runCtx = ctx
 	for _, p := range ms.peers {
-		ms.startSender(p)
+		ms.startSender(p, p.small)
+		ms.startSender(p, p.large)
 	}
 	ms.mu.Unlock()
 	if ms.Listener != nil {
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -133,6 +133,7 @@
 		checkLargeMessageOnSlowLink(t)
 		checkSmallCallsBesideLargeResponses(t)
 		checkAbandonedResponse(t)
+		checkHeartbeatsBesideSnapshot(t)
 	})
 }
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -10,14 +10,19 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
 const (
-	// sendQueueCapacity is the capacity of the queue of one-way messages to a
-	// peer.
-	sendQueueCapacity = 512
+	// sendQueueCapacity is the capacity of the queue of one-way messages to a peer,
+	// largeQueueCapacity that of the queue of those above smallMessageBytes.
+	sendQueueCapacity  = 512
+	largeQueueCapacity = 64
+	// maxQueuedTime is the time after which a queued message is discarded. Replicas repeat
+	// a snapshot that is not acknowledged within some seconds.
+	maxQueuedTime = 10 * time.Second
 	// dialTimeout is the timeout of one connection attempt.
 	dialTimeout = 2 * time.Second
 	// minRedialInterval is the time after a failed connection attempt to a peer
@@ -30,9 +35,8 @@
 
 // peer holds the session that this process dials to one address.
 type peer struct {
-	address       string
-	queue         chan *encoder.Message
-	senderStarted bool
+	address      string
+	small, large *sendQueue // one-way messages up to and above smallMessageBytes
 	// connecting holds an element while a session is being dialled.
 	connecting chan struct{}
 
@@ -43,6 +47,21 @@
 	closed      bool
 }
 
+// sendQueue holds the one-way messages that share a stream.
+type sendQueue struct {
+	messages      chan queuedMessage
+	senderStarted bool
+}
+
+type queuedMessage struct {
+	*encoder.Message
+	since time.Time
+}
+
+func newSendQueue(capacity int) *sendQueue {
+	return &sendQueue{messages: make(chan queuedMessage, capacity)}
+}
+
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -59,7 +78,7 @@
 	defer ms.mu.Unlock()
 	p, ok := ms.peers[address]
 	if !ok {
-		p = &peer{address: address, queue: make(chan *encoder.Message, sendQueueCapacity), connecting: make(chan struct{}, 1)}
+		p = &peer{address: address, small: newSendQueue(sendQueueCapacity), large: newSendQueue(largeQueueCapacity), connecting: make(chan struct{}, 1)}
 		ms.peers[address] = p
 	}
 	return p
@@ -201,44 +220,51 @@
 }
 
 // Send implements carobrock.Transport. It discards the message if the queue of
-// the peer is full.
+// the peer is full. A small message may overtake a large one.
 func (ms *Messenger) Send(address string, m *encoder.Message) {
 	p := ms.findOrAddPeer(address)
+	q := p.small
+	if proto.Size(m) > smallMessageBytes {
+		q = p.large
+	}
 	ms.mu.Lock()
-	ms.startSender(p)
+	ms.startSender(p, q)
 	ms.mu.Unlock()
 	select {
-	case p.queue <- m:
+	case q.messages <- queuedMessage{Message: m, since: time.Now()}:
 	default:
 	}
 }
 
-// startSender starts the goroutine that sends the messages to p, unless it is
+// startSender starts the goroutine that sends the messages of a queue to p, unless it is
 // running or Run is not active. The caller must hold ms.mu.
-func (ms *Messenger) startSender(p *peer) {
-	if p.senderStarted || ms.runCtx == nil || ms.runCtx.Err() != nil {
+func (ms *Messenger) startSender(p *peer, q *sendQueue) {
+	if q.senderStarted || ms.runCtx == nil || ms.runCtx.Err() != nil {
 		return
 	}
-	p.senderStarted = true
+	q.senderStarted = true
 	ctx := ms.runCtx
-	ms.group.Go(func() { ms.runSender(ctx, p) })
+	ms.group.Go(func() { ms.runSender(ctx, p, q) })
 }
 
-// runSender sends the queued messages to p until ctx ends. Messages that cannot
-// be sent are discarded.
-func (ms *Messenger) runSender(ctx context.Context, p *peer) {
+// runSender sends the messages of a queue to p until ctx ends. Messages that cannot
+// be sent, or have waited for maxQueuedTime, are discarded.
+func (ms *Messenger) runSender(ctx context.Context, p *peer, q *sendQueue) {
 	var stream *oneWayStream
 	var err error
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-p.queue:
+		case m := <-q.messages:
+			if time.Since(m.since) > maxQueuedTime {
+				continue
+			}
 			if stream == nil || stream.isEnded() {
 				stream, err = ms.openOneWayStream(ctx, p)
 			}
 			if err == nil {
-				err = writeFrame(&partWriter{stream: stream, partBytes: stream.partBytes, partTimeout: ms.PingTimeout}, m)
+				err = writeFrame(&partWriter{stream: stream, partBytes: stream.partBytes, partTimeout: ms.PingTimeout}, m.Message)
 			}
 			if err != nil && stream != nil {
 				_ = stream.Close()
