--- a/internal/messenger/intake.go
+++ b/internal/messenger/intake.go
@@ -42,7 +42,7 @@
 	decodeWait = time.Second
 	// queuedTime is how long a message is assumed to wait in the queue of its receiver,
 	// which is served between writes to the disk. Messages up to smallMessageBytes are
-	// not counted.
+	// not counted. Their sender has a stream of its own for larger ones.
 	queuedTime        = 200 * time.Millisecond
 	smallMessageBytes = 4 << 10
 	// smallMessagesShare is the part of the memory for decoding messages that is kept for
@@ -132,8 +132,9 @@
 // incomingSession is an accepted connection.
 type incomingSession struct {
 	net.Conn
-	intake *intake
-	since  time.Time
+	intake    *intake
+	since     time.Time
+	partBytes atomic.Int64 // size of the next part of a frame
 
 	header [sessionHeaderBytes]byte
 	filled int    // bytes of header that have arrived
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -65,10 +65,10 @@
 	Handlers map[string]Handler
 	// OnMessage receives one-way messages. If nil, they are discarded.
 	OnMessage func(m *encoder.Message)
-	// PingInterval is the interval between pings of a session. If zero, it is
-	// 1 s.
+	// PingInterval is the interval between pings of a session that this process has
+	// dialled. If zero, it is 250 ms.
 	PingInterval time.Duration
-	// PingTimeout is the timeout of a ping, of a write and of the
+	// PingTimeout is the timeout of a ping, of a part of a frame and of the
 	// acknowledgement of a new stream. The session is closed if a ping or an
 	// acknowledgement times out. If zero, it is 2 s.
 	PingTimeout time.Duration
@@ -101,7 +101,7 @@
 		}
 	}
 	if ms.PingInterval == 0 {
-		ms.PingInterval = time.Second
+		ms.PingInterval = 250 * time.Millisecond
 	}
 	if ms.PingTimeout == 0 {
 		ms.PingTimeout = 2 * time.Second
@@ -119,7 +119,8 @@
 	ms.mu.Lock()
 	ms.runCtx = ctx
 	for _, p := range ms.peers {
-		ms.startSender(p)
+		ms.startSender(p, p.small)
+		ms.startSender(p, p.large)
 	}
 	ms.mu.Unlock()
 	if ms.Listener != nil {
@@ -169,7 +170,11 @@
 // the listener keeps failing.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// sessionConfig returns the yamux configuration of a session.
+// acceptedPingInterval is the interval between pings of a session that another process has
+// dialled. They only detect that the session is lost.
+const acceptedPingInterval = time.Second
+
+// sessionConfig returns the yamux configuration of a session that this process dials.
 func (ms *Messenger) sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = true
@@ -184,7 +189,9 @@
 
 // serveConn serves the streams of one incoming connection until it is closed.
 func (ms *Messenger) serveConn(ctx context.Context, conn *incomingSession) {
-	session, err := yamux.Server(ms.Traffic.countConn(conn), ms.sessionConfig())
+	config := ms.sessionConfig()
+	config.KeepAliveInterval = acceptedPingInterval
+	session, err := yamux.Server(ms.Traffic.countConn(conn), config)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -265,8 +272,8 @@
 			resp.Code, resp.Text = remote.Code, remote.Text
 		}
 	}
-	_ = stream.SetWriteDeadline(time.Now().Add(ms.PingTimeout))
-	if err := writeFrame(stream, resp); err != nil {
+	w := &partWriter{stream: stream, partBytes: &stream.session.partBytes, partTimeout: ms.PingTimeout, timeOver: ctx.Done()}
+	if err := writeFrame(w, resp); err != nil {
 		ms.Logger.Debug().Err(err).Str("method", call.GetMethod()).Msg("messenger: cannot send the response")
 	}
 }
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -2,21 +2,27 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carobrock/carobrock/internal/encoder"
 )
 
 const (
-	// sendQueueCapacity is the capacity of the queue of one-way messages to a
-	// peer.
-	sendQueueCapacity = 512
+	// sendQueueCapacity is the capacity of the queue of one-way messages to a peer,
+	// largeQueueCapacity that of the queue of those above smallMessageBytes.
+	sendQueueCapacity  = 512
+	largeQueueCapacity = 64
+	// maxQueuedTime is the time after which a queued message is discarded. Replicas repeat
+	// a snapshot that is not acknowledged within some seconds.
+	maxQueuedTime = 10 * time.Second
 	// dialTimeout is the timeout of one connection attempt.
 	dialTimeout = 2 * time.Second
 	// minRedialInterval is the time after a failed connection attempt to a peer
@@ -29,19 +35,33 @@
 
 // peer holds the session that this process dials to one address.
 type peer struct {
-	address       string
-	queue         chan *encoder.Message
-	senderStarted bool
+	address      string
+	small, large *sendQueue // one-way messages up to and above smallMessageBytes
 	// connecting holds an element while a session is being dialled.
 	connecting chan struct{}
 
 	mu          sync.Mutex
-	session     *yamux.Session
+	session     *dialledSession
 	lastDial    time.Time
 	lastDialErr error
 	closed      bool
 }
 
+// sendQueue holds the one-way messages that share a stream.
+type sendQueue struct {
+	messages      chan queuedMessage
+	senderStarted bool
+}
+
+type queuedMessage struct {
+	*encoder.Message
+	since time.Time
+}
+
+func newSendQueue(capacity int) *sendQueue {
+	return &sendQueue{messages: make(chan queuedMessage, capacity)}
+}
+
 func (p *peer) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,16 +78,17 @@
 	defer ms.mu.Unlock()
 	p, ok := ms.peers[address]
 	if !ok {
-		p = &peer{address: address, queue: make(chan *encoder.Message, sendQueueCapacity), connecting: make(chan struct{}, 1)}
+		p = &peer{address: address, small: newSendQueue(sendQueueCapacity), large: newSendQueue(largeQueueCapacity), connecting: make(chan struct{}, 1)}
 		ms.peers[address] = p
 	}
 	return p
 }
 
 // openSession returns the open session to p and dials a new one if there is none.
-// After a failed attempt it returns the same error for minRedialInterval. It does not
-// wait longer than ctx allows for another call that is dialling.
-func (ms *Messenger) openSession(ctx context.Context, p *peer) (*yamux.Session, error) {
+// After a failed attempt that ctx did not cut short it returns the same error for
+// minRedialInterval. It does not wait longer than ctx allows for another call that is
+// dialling.
+func (ms *Messenger) openSession(ctx context.Context, p *peer) (*dialledSession, error) {
 	if session, err := p.currentSession(); session != nil || err != nil {
 		return session, err
 	}
@@ -81,12 +102,21 @@
 		return session, err
 	}
 	session, err := ms.dial(ctx, p.address)
+	if err != nil && hasEnded(ctx) {
+		return nil, err // says nothing to the calls that wait
+	}
 	return p.setSession(session, err)
 }
 
+// hasEnded reports whether ctx is done or its deadline has passed.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // currentSession returns the open session, the error of an attempt to dial less than
 // minRedialInterval ago, or neither.
-func (p *peer) currentSession() (*yamux.Session, error) {
+func (p *peer) currentSession() (*dialledSession, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -103,7 +133,7 @@
 
 // setSession records the result of an attempt to dial and returns it. A session that
 // was dialled while p was closed is closed.
-func (p *peer) setSession(session *yamux.Session, err error) (*yamux.Session, error) {
+func (p *peer) setSession(session *dialledSession, err error) (*dialledSession, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastDial, p.lastDialErr, p.session = time.Now(), err, session
@@ -115,14 +145,14 @@
 }
 
 // dial connects to address and opens a session.
-func (ms *Messenger) dial(ctx context.Context, address string) (*yamux.Session, error) {
+func (ms *Messenger) dial(ctx context.Context, address string) (*dialledSession, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := ms.Dial(ctx, address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "cannot connect to %s: %v", address, err)
 	}
-	session, err := yamux.Client(ms.Traffic.countConn(conn), ms.sessionConfig())
+	session, err := newDialledSession(ms.Traffic.countConn(conn), ms.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrapf(ErrNotSent, "cannot open a session with %s: %v", address, err)
@@ -131,7 +161,7 @@
 }
 
 // Call invokes method at address and returns the body of the response. It
-// returns an error that wraps ErrNotSent or ErrNoResponse, or a *RemoteError of
+// returns an error that wraps ErrNotSent, a *NoResponseError, or a *RemoteError of
 // the other process. If ctx has no deadline, the call times out after 10 s.
 func (ms *Messenger) Call(ctx context.Context, address, method string, body []byte) ([]byte, error) {
 	if _, ok := ctx.Deadline(); !ok {
@@ -150,9 +180,9 @@
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
 	defer stop()
-	resp, err := ms.exchangeCall(ctx, stream, method, body)
+	resp, err := ms.exchangeCall(ctx, stream, &session.partBytes, method, body)
 	if err != nil {
-		return nil, eris.Wrapf(ErrNoResponse, "%s at %s: %v", method, address, err)
+		return nil, &NoResponseError{IsConnected: !session.IsClosed(), Silence: session.silence(), text: fmt.Sprintf("%s at %s: %v", method, address, err)}
 	}
 	if resp.GetCode() != "" {
 		return nil, &RemoteError{Code: resp.GetCode(), Text: resp.GetText()}
@@ -160,8 +190,8 @@
 	return resp.GetBody(), nil
 }
 
-// exchangeCall sends a call on a stream and reads the response.
-func (ms *Messenger) exchangeCall(ctx context.Context, stream net.Conn, method string, body []byte) (*encoder.Answer, error) {
+// exchangeCall sends a call on a stream in parts of partBytes and reads the response.
+func (ms *Messenger) exchangeCall(ctx context.Context, stream net.Conn, partBytes *atomic.Int64, method string, body []byte) (*encoder.Answer, error) {
 	deadline, _ := ctx.Deadline()
 	_ = stream.SetDeadline(deadline)
 	call := &encoder.Call{Id: ms.nextCallID(), Method: method, Body: body}
@@ -169,7 +199,7 @@
 	if _, err := stream.Write([]byte{streamCall}); err != nil {
 		return nil, err
 	}
-	if err := writeFrame(stream, call); err != nil {
+	if err := writeFrame(&partWriter{stream: stream, partBytes: partBytes}, call); err != nil {
 		return nil, err
 	}
 	resp := &encoder.Answer{}
@@ -190,45 +220,51 @@
 }
 
 // Send implements carobrock.Transport. It discards the message if the queue of
-// the peer is full.
+// the peer is full. A small message may overtake a large one.
 func (ms *Messenger) Send(address string, m *encoder.Message) {
 	p := ms.findOrAddPeer(address)
+	q := p.small
+	if proto.Size(m) > smallMessageBytes {
+		q = p.large
+	}
 	ms.mu.Lock()
-	ms.startSender(p)
+	ms.startSender(p, q)
 	ms.mu.Unlock()
 	select {
-	case p.queue <- m:
+	case q.messages <- queuedMessage{Message: m, since: time.Now()}:
 	default:
 	}
 }
 
-// startSender starts the goroutine that sends the messages to p, unless it is
+// startSender starts the goroutine that sends the messages of a queue to p, unless it is
 // running or Run is not active. The caller must hold ms.mu.
-func (ms *Messenger) startSender(p *peer) {
-	if p.senderStarted || ms.runCtx == nil || ms.runCtx.Err() != nil {
+func (ms *Messenger) startSender(p *peer, q *sendQueue) {
+	if q.senderStarted || ms.runCtx == nil || ms.runCtx.Err() != nil {
 		return
 	}
-	p.senderStarted = true
+	q.senderStarted = true
 	ctx := ms.runCtx
-	ms.group.Go(func() { ms.runSender(ctx, p) })
+	ms.group.Go(func() { ms.runSender(ctx, p, q) })
 }
 
-// runSender sends the queued messages to p until ctx ends. Messages that cannot
-// be sent are discarded.
-func (ms *Messenger) runSender(ctx context.Context, p *peer) {
+// runSender sends the messages of a queue to p until ctx ends. Messages that cannot
+// be sent, or have waited for maxQueuedTime, are discarded.
+func (ms *Messenger) runSender(ctx context.Context, p *peer, q *sendQueue) {
 	var stream *oneWayStream
 	var err error
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-p.queue:
+		case m := <-q.messages:
+			if time.Since(m.since) > maxQueuedTime {
+				continue
+			}
 			if stream == nil || stream.isEnded() {
 				stream, err = ms.openOneWayStream(ctx, p)
 			}
 			if err == nil {
-				_ = stream.SetWriteDeadline(time.Now().Add(ms.PingTimeout))
-				err = writeFrame(stream, m)
+				err = writeFrame(&partWriter{stream: stream, partBytes: stream.partBytes, partTimeout: ms.PingTimeout}, m.Message)
 			}
 			if err != nil && stream != nil {
 				_ = stream.Close()
@@ -250,7 +286,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := &oneWayStream{Conn: opened, ended: make(chan struct{})}
+	stream := &oneWayStream{Conn: opened, partBytes: &session.partBytes, ended: make(chan struct{})}
 	ms.group.Go(stream.watch)
 	_, err = stream.Write([]byte{streamOneWay})
 	return stream, err
@@ -259,7 +295,8 @@
 // oneWayStream is a stream for one-way messages, on which the other process sends nothing.
 type oneWayStream struct {
 	net.Conn
-	ended chan struct{} // closed when the other process has closed the stream
+	partBytes *atomic.Int64
+	ended     chan struct{} // closed when the other process has closed the stream
 }
 
 // watch closes the stream when the other process does. yamux itself would let it be
