Dispatcher: a queue that was removed takes no jobs

Through a gateway whose copy of the configuration was out of date, callers submitted jobs to a queue that had been removed: accepted, without a pool, never started. Counts of its pending jobs were answered as well.

Only the gateway looked the queue up. The leader now does so too, against the configuration in force, before it stores a job that it does not hold yet and before it answers for a queue. Callers get 404. After an attempt whose outcome is unknown they get 504, as the job may have been stored.

The tests of reads now apply a configuration with their queue.

--- a/internal/bookkeeper/summary.go
+++ b/internal/bookkeeper/summary.go
@@ -31,16 +31,15 @@
 	// pending counts the jobs without assigned tasks by the key of their queue. Queues
 	// without such jobs have no element.
 	pending map[string]int
+	// queues are those of the state. A new configuration replaces the map.
+	queues map[string]*carobrock.Queue
 }
 
-// update takes over the jobs that changed since the last call. The caller holds the
-// mutex of s.
+// update takes over what changed since the last call. The caller holds the mutex of s.
 func (x *summaries) update(s *State) {
-	if len(s.changedJobs) == 0 {
-		return
-	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.queues = s.queues
 	for _, id := range s.changedJobs {
 		x.set(s, id)
 	}
@@ -51,7 +50,7 @@
 func (x *summaries) replace(s *State) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.jobs, x.pending = make(map[string]JobSummary, len(s.Jobs)), map[string]int{}
+	x.jobs, x.pending, x.queues = make(map[string]JobSummary, len(s.Jobs)), map[string]int{}, s.queues
 	for id := range s.Jobs {
 		x.set(s, id)
 	}
@@ -93,3 +92,11 @@
 	defer m.summaries.mu.RUnlock()
 	return m.summaries.pending[queue]
 }
+
+// HasQueue reports whether the configuration in force has a queue with the given key,
+// like JobSummary.
+func (m *StateMachine) HasQueue(key string) bool {
+	m.summaries.mu.RLock()
+	defer m.summaries.mu.RUnlock()
+	return m.summaries.queues[key] != nil
+}
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -34,6 +34,11 @@
 	if err := spec.Check(); err != nil {
 		return false, err
 	}
+	if _, isStored := d.StateMachine.JobSummary(spec.ID); !isStored {
+		if err := d.checkQueue(spec.Queue); err != nil {
+			return false, err
+		}
+	}
 	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Submit = append(c.Submit, *spec)
 		return len(c.Submit) - 1
@@ -80,7 +85,21 @@
 // PendingJobs implements carobrock.JobControl. It waits no longer than JobState.
 func (d *Dispatcher) PendingJobs(_ context.Context, queue string) (int, error) {
 	n := d.StateMachine.PendingJobs(queue)
-	return n, d.checkLeader()
+	return n, d.checkQueue(queue)
+}
+
+// checkQueue fails with carobrock.ErrNotFound if the configuration in force has no queue
+// with the given key, and with a *locator.NotLeaderError if this replica is not the
+// leader. The copy of the configuration at a gateway may be older and have it still.
+func (d *Dispatcher) checkQueue(key string) error {
+	exists := d.StateMachine.HasQueue(key)
+	if err := d.checkLeader(); err != nil {
+		return err
+	}
+	if !exists {
+		return eris.Wrapf(carobrock.ErrNotFound, "there is no queue %q", key)
+	}
+	return nil
 }
 
 // Configure implements carobrock.JobControl.
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -146,10 +146,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	h.done.Go(func() { _ = h.d.Run(ctx) })
-	h.must(h.d.Configure(ctx, &carobrock.Configuration{
-		Version: 1, Pools: []carobrock.WorkerPool{{Name: "pool"}},
-		Queues: []carobrock.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "pool", MaxAttempts: 3, TimeoutMillis: 1000, Policy: policy}},
-	}))
+	c := newConfiguration(1)
+	c.Queues[0].Policy = policy
+	h.must(h.d.Configure(ctx, c))
+}
+
+// newConfiguration returns a configuration with the pool and the queue of the tests.
+func newConfiguration(version int64) *carobrock.Configuration {
+	return &carobrock.Configuration{
+		Version: version, Pools: []carobrock.WorkerPool{{Name: "pool"}},
+		Queues: []carobrock.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "pool", MaxAttempts: 3, TimeoutMillis: 1000}},
+	}
 }
 
 func (h *harness) stop() {
--- a/internal/dispatcher/read_test.go
+++ b/internal/dispatcher/read_test.go
@@ -19,7 +19,7 @@
 // applySubmission applies the submission of a job. The dispatcher need not run.
 func (h *harness) applySubmission(i int) {
 	h.t.Helper()
-	c := &carobrock.JobCommand{Submit: []carobrock.JobSpec{{ID: jobID(i), Queue: queueKey, Steps: []carobrock.Step{oneCoreStep(1)}}}}
+	c := &carobrock.JobCommand{Configuration: newConfiguration(1), Submit: []carobrock.JobSpec{{ID: jobID(i), Queue: queueKey, Steps: []carobrock.Step{oneCoreStep(1)}}}}
 	data, err := c.Encode()
 	h.must(err)
 	h.stateMachine.Apply(uint64(i), data)
--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -150,8 +150,9 @@
 // NotLeaderError is sent as CodeNotLeader with the leader's address.
 // ErrNotApplied is sent as CodeNotLeader without an address, so that the caller
 // looks for the leader again. An OverloadError is sent as codeOverloaded with its
-// delay in milliseconds. ErrRefused and ErrVersionConflict are sent as
-// codeRefused and codeConflict, and any other error as codeOutcomeUnknown.
+// delay in milliseconds. ErrRefused, ErrVersionConflict and ErrNotFound are sent as
+// codeRefused, codeConflict and codeNotFound, and any other error as
+// codeOutcomeUnknown.
 func encodeError(err error) error {
 	var notLeader *NotLeaderError
 	var overload *carobrock.OverloadError
@@ -166,6 +167,8 @@
 		return &messenger.RemoteError{Code: codeRefused, Text: err.Error()}
 	case errors.Is(err, carobrock.ErrVersionConflict):
 		return &messenger.RemoteError{Code: codeConflict, Text: err.Error()}
+	case errors.Is(err, carobrock.ErrNotFound):
+		return &messenger.RemoteError{Code: codeNotFound, Text: err.Error()}
 	default:
 		return &messenger.RemoteError{Code: codeOutcomeUnknown, Text: err.Error()}
 	}
@@ -183,6 +186,8 @@
 		return eris.Wrap(carobrock.ErrRefused, remote.Text)
 	case codeConflict:
 		return eris.Wrap(carobrock.ErrVersionConflict, remote.Text)
+	case codeNotFound:
+		return eris.Wrap(carobrock.ErrNotFound, remote.Text)
 	case codeOverloaded:
 		millis, parseErr := strconv.ParseInt(remote.Text, 10, 64)
 		if parseErr != nil {
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -27,6 +27,8 @@
 	codeRefused = "refused"
 	// codeConflict is the error code of a change that is based on an earlier version.
 	codeConflict = "conflict"
+	// codeNotFound is the error code of a call for a queue that does not exist.
+	codeNotFound = "notFound"
 	// codeOverloaded is the error code of a job that was refused for lack of capacity.
 	// The error text is the delay before the next attempt in milliseconds.
 	codeOverloaded = "overloaded"
@@ -261,7 +263,7 @@
 		}
 		if isFinal(err) {
 			isAnswered = true
-			if outcomeUnknown && isOverloaded(err) {
+			if outcomeUnknown && isRefusal(err) {
 				// An earlier attempt may still be executed.
 				return nil, eris.Wrap(carobrock.ErrOutcomeUnknown, err.Error())
 			}
@@ -298,10 +300,10 @@
 	return false
 }
 
-// isOverloaded reports whether err is a RemoteError with codeOverloaded.
-func isOverloaded(err error) bool {
+// isRefusal reports whether err is a RemoteError of a valid call that was not executed.
+func isRefusal(err error) bool {
 	var remote *messenger.RemoteError
-	return errors.As(err, &remote) && remote.Code == codeOverloaded
+	return errors.As(err, &remote) && (remote.Code == codeOverloaded || remote.Code == codeNotFound)
 }
 
 // isFinal reports whether err is a RemoteError after which the call must not be
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -36,6 +36,10 @@
 	return nil, &messenger.RemoteError{Code: "overloaded", Text: "250"}
 }
 
+func refuseForQueue(context.Context) ([]byte, error) {
+	return nil, &messenger.RemoteError{Code: "notFound"}
+}
+
 func hangUntilTimeout(ctx context.Context) ([]byte, error) {
 	<-ctx.Done()
 	return nil, messenger.ErrNoResponse
@@ -59,6 +63,7 @@
 		{name: "all down", replicas: fakeReplicas{}, wantErr: carobrock.ErrNotApplied, maxElapsed: 3 * time.Second},
 		{name: "one may have executed the call", replicas: fakeReplicas{"a": hangUntilTimeout}, wantErr: carobrock.ErrOutcomeUnknown, maxElapsed: 3 * time.Second},
 		// The refusal would promise that the job does not run.
+		{name: "queue removed after an attempt that may be executed", replicas: fakeReplicas{"a": hangUntilTimeout, "b": refuseForQueue}, wantErr: carobrock.ErrOutcomeUnknown, maxElapsed: 1100 * time.Millisecond},
 		{name: "refused after an attempt that may be executed", replicas: fakeReplicas{"a": hangUntilTimeout, "b": refuseForOverload}, wantErr: carobrock.ErrOutcomeUnknown, maxElapsed: 1100 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/jobcontrol.go
+++ b/jobcontrol.go
@@ -9,7 +9,8 @@
 type JobControl interface {
 	// SubmitJob stores a job. It returns false if the ID belongs to a job of
 	// another queue or client account. It returns an *OverloadError if the job was
-	// refused for lack of capacity.
+	// refused for lack of capacity, and ErrNotFound if it was not stored because the
+	// configuration in force does not have its queue.
 	SubmitJob(ctx context.Context, spec *JobSpec) (bool, error)
 	// CancelJob cancels a job. It returns false if the queue has no job with
 	// this ID, or if the job belongs to another client account.
@@ -18,7 +19,7 @@
 	// such job or it belongs to another client account.
 	JobState(ctx context.Context, q JobQuery) (JobState, error)
 	// PendingJobs returns the number of jobs in a queue that have no started
-	// task.
+	// task, or ErrNotFound if the configuration in force does not have the queue.
 	PendingJobs(ctx context.Context, queue string) (int, error)
 	// Configure stores a configuration. It takes effect if its version is
 	// higher than that of the configuration in force.
