Submitter: a queue is reported as missing by a fresh copy only

Callers got 404 for queues that had been added and acknowledged, from a gateway whose copy of the configuration was up to 3 s old, while a change must be in force after 2 to 2.5 s on the platform.

TestMissingQueueIsReportedByAFreshCopyOnly: without the new bound a copy of the age of 2 s reports the queue as missing.

--- a/cmd/carobrock/node.go
+++ b/cmd/carobrock/node.go
@@ -79,7 +79,7 @@
 	}
 	limits := limiter.Derive(s.MemoryMB, s.MaxDescriptors)
 	if s.ServesCallers {
-		n.submitter = &submitter.Submitter{Control: control, KeyFreshness: s.KeyFreshness, Uptime: launcher.Uptime, Logger: n.log}
+		n.submitter = &submitter.Submitter{Control: control, KeyFreshness: s.KeyFreshness, AbsenceFreshness: s.AbsenceFreshness, Uptime: launcher.Uptime, Logger: n.log}
 		callers := n.addEndpoint("callers", s.CallerAddress, limits.Callers, &platform.CallerHandler{Submitter: n.submitter, Logger: n.log})
 		callers.RequestLimits = n.submitter.RequestLimits
 		n.addEndpoint("readiness", s.ReadyAddress, limits.Readiness, &platform.ReadinessHandler{IsReady: n.submitter.IsReady})
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -47,8 +47,9 @@
 	// OperationsAddress is the address of the dump and the metrics. If empty, there is
 	// none.
 	OperationsAddress string
-	// KeyFreshness is submitter.Submitter.KeyFreshness.
-	KeyFreshness time.Duration
+	// KeyFreshness and AbsenceFreshness are those of submitter.Submitter.
+	KeyFreshness     time.Duration
+	AbsenceFreshness time.Duration
 	// Seeds are the peer addresses of some replicas.
 	Seeds []string
 	// DataDir is the replica's data directory. If empty, the process has no
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -37,6 +37,11 @@
 	// StaleAfter is the time since the last confirmation by a leader after which the
 	// configuration counts as stale. Zero means DefaultStaleAfter.
 	StaleAfter time.Duration
+	// AbsenceFreshness is the time since the last confirmation by a leader up to which a
+	// queue that the configuration does not have is reported as missing. After it, a
+	// newer configuration may have the queue. Zero or more than StaleAfter means
+	// StaleAfter.
+	AbsenceFreshness time.Duration
 	// KeyFreshness is the time since the last confirmation by a leader after which
 	// calls that require a key are refused. A revoked key is refused within this time.
 	// Zero means DefaultKeyFreshness.
@@ -141,6 +146,12 @@
 	return s.confirmedWithin(staleAfter)
 }
 
+// knowsAllQueues reports whether the configuration was confirmed within StaleAfter and
+// AbsenceFreshness. The caller holds s.mu.
+func (s *Submitter) knowsAllQueues() bool {
+	return s.isFresh() && (s.AbsenceFreshness == 0 || s.confirmedWithin(s.AbsenceFreshness))
+}
+
 // confirmedWithin reports whether the configuration was confirmed less than limit ago.
 // The caller holds s.mu.
 func (s *Submitter) confirmedWithin(limit time.Duration) bool {
@@ -185,7 +196,7 @@
 	if found := s.queues.match(host, path); found != nil {
 		return found, path[len(found.PathPrefix):], nil
 	}
-	if !s.isFresh() {
+	if !s.knowsAllQueues() {
 		return nil, "", ErrStale
 	}
 	return nil, "", ErrNoQueue
--- a/internal/submitter/submitter_test.go
+++ b/internal/submitter/submitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -38,3 +39,24 @@
 		t.Errorf("queue of a stale configuration: rest %q, %v", rest, err)
 	}
 }
+
+// Guards against a queue that is reported as missing by a copy of the configuration that
+// is older than the time after which a change must be in force.
+func TestMissingQueueIsReportedByAFreshCopyOnly(t *testing.T) {
+	s := &Submitter{AbsenceFreshness: 1500 * time.Millisecond, Logger: zerolog.Nop()}
+	for _, test := range []struct {
+		age     time.Duration
+		wantErr error
+	}{
+		{time.Second, ErrNoQueue},
+		{2 * time.Second, ErrStale}, // less than DefaultStaleAfter
+	} {
+		s.applyConfiguration(newConfiguration(1, "/a/"), s.now()-test.age)
+		if _, _, err := s.MatchQueue("h", "/added/1"); !errors.Is(err, test.wantErr) {
+			t.Errorf("copy of age %v: %v, want %v", test.age, err, test.wantErr)
+		}
+		if _, _, err := s.MatchQueue("h", "/a/1"); err != nil {
+			t.Errorf("copy of age %v, known queue: %v", test.age, err)
+		}
+	}
+}
