Configuration: nodes fetch the difference to their version

A series of changes kept a link of 2 Mbit/s busy: each change of one of 20,000 queues cost 290 KB, 1.2 s of the link.

The leader holds the last 8 versions that it served, up to 50,000 queues in all, and sends the difference to the one that the node has: runs of queues that are the same, and the others in full. The result is checked by a digest; if it does not match, as with another base or a build that does not know all fields, the node asks for the whole configuration.

The test of a slow link has a second gateway now, which gets its first configuration, and so the whole of it, while versions change.

--- a/internal/locator/calls.go
+++ b/internal/locator/calls.go
@@ -108,8 +108,8 @@
 			return serveCall(body, &in, func() (any, error) { return control.WatchConfiguration(ctx, in) })
 		},
 		methodWatchParts: func(ctx context.Context, body []byte) ([]byte, error) {
-			in := int64(0)
-			return serveCall(body, &in, func() (any, error) { return parts.watch(ctx, in) })
+			in := &watchRequest{}
+			return serveCall(body, in, func() (any, error) { return parts.watch(ctx, in) })
 		},
 		methodPart: func(ctx context.Context, body []byte) ([]byte, error) {
 			in := &partRequest{}
--- a/internal/locator/parts.go
+++ b/internal/locator/parts.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,13 +22,25 @@
 	// maxConfigurationBytes bounds the size of a configuration without its Document, both
 	// encoded and compressed.
 	maxConfigurationBytes = 64 << 20
-	// maxHeldVersions and maxHeldBytes bound the compressed configurations that a leader
-	// holds. The versions that appear during a transfer of some seconds are well below
-	// this number.
-	maxHeldVersions = 32
-	maxHeldBytes    = 16 << 20
+	// maxForms and maxFormBytes bound the compressed forms that a leader holds. The forms
+	// that appear during a transfer of some seconds are well below this number.
+	maxForms     = 64
+	maxFormBytes = 16 << 20
+	// maxRecent and maxRecentQueues bound the versions that a leader holds as bases of
+	// differences.
+	maxRecent       = 8
+	maxRecentQueues = 50_000
+	// noBase is in the place of the version of a base if there is none.
+	noBase = -1
 )
 
+// watchRequest waits for a version newer than AfterVersion. HasBase is set if the caller
+// has that version and accepts a difference to it.
+type watchRequest struct {
+	AfterVersion int64 `cbor:"1,keyasint"`
+	HasBase      bool  `cbor:"2,keyasint"`
+}
+
 // firstPart is the response to a watch call of a newer configuration, with the start of
 // its compressed form.
 type firstPart struct {
@@ -36,6 +49,8 @@
 	Size   int    `cbor:"2,keyasint"`
 	Digest []byte `cbor:"3,keyasint"`
 	Data   []byte `cbor:"4,keyasint"`
+	// IsDifference is set if the form is that of the difference to the caller's version.
+	IsDifference bool `cbor:"5,keyasint"`
 }
 
 // partRequest asks for the part of a compressed form that starts at Offset.
@@ -51,14 +66,8 @@
 	Data []byte `cbor:"1,keyasint"`
 }
 
-// compress returns the compressed form of c without its Document.
-func compress(c *carobrock.Configuration) ([]byte, error) {
-	withoutDocument := *c
-	withoutDocument.Document = nil
-	plain, err := cbor.Marshal(&withoutDocument)
-	if err != nil {
-		return nil, err
-	}
+// compress returns the compressed form of an encoding.
+func compress(plain []byte) ([]byte, error) {
 	if len(plain) > maxConfigurationBytes {
 		return nil, eris.Errorf("locator: configuration of %d bytes, the limit is %d", len(plain), maxConfigurationBytes)
 	}
@@ -77,7 +86,7 @@
 }
 
 // decompress is the inverse of compress.
-func decompress(data []byte) (*carobrock.Configuration, error) {
+func decompress(data []byte) ([]byte, error) {
 	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxConfigurationBytes+1))
 	if err != nil {
 		return nil, err
@@ -85,52 +94,57 @@
 	if len(plain) > maxConfigurationBytes {
 		return nil, eris.New("locator: the uncompressed configuration exceeds the limit")
 	}
-	c := &carobrock.Configuration{}
-	if err := cbor.Unmarshal(plain, c); err != nil {
-		return nil, err
-	}
-	return c, nil
+	return plain, nil
 }
 
-// compressedConfiguration is the compressed form of one version.
-type compressedConfiguration struct {
+// compressedForm is the compressed form of one version or of its difference to a base.
+type compressedForm struct {
 	version int64
+	base    int64 // noBase for a whole configuration
 	data    []byte
 	digest  [sha256.Size]byte
 	usedAt  uint64 // value of partServer.uses at the last use
 }
 
 // part returns the part that starts at offset, empty if there is none.
-func (f *compressedConfiguration) part(offset int) []byte {
+func (f *compressedForm) part(offset int) []byte {
 	if offset < 0 || offset >= len(f.data) {
 		return nil
 	}
 	return f.data[offset:min(len(f.data), offset+partBytes)]
 }
 
-// partServer serves the configuration of control in parts. It compresses each version
-// once and holds the forms that were used last.
+// partServer serves the configuration of control in parts. It compresses each form once
+// and holds those that were used last.
 type partServer struct {
 	control carobrock.JobControl
 
 	mu        sync.Mutex
-	held      map[int64]*compressedConfiguration // by version
-	heldBytes int
+	forms     []*compressedForm
+	formBytes int
 	uses      uint64
+	// recent holds the newest versions that were served, the newest last. They are the
+	// bases of differences.
+	recent       []*carobrock.Configuration
+	recentQueues int
 }
 
 // watch waits like WatchConfiguration and returns the first part of the newer
 // configuration, nil if there is none.
-func (s *partServer) watch(ctx context.Context, afterVersion int64) (*firstPart, error) {
-	c, err := s.control.WatchConfiguration(ctx, afterVersion)
+func (s *partServer) watch(ctx context.Context, r *watchRequest) (*firstPart, error) {
+	c, err := s.control.WatchConfiguration(ctx, r.AfterVersion)
 	if c == nil || err != nil {
 		return nil, err
 	}
-	f, err := s.form(c)
+	base := r.AfterVersion
+	if !r.HasBase {
+		base = noBase
+	}
+	f, err := s.form(c, base)
 	if err != nil {
 		return nil, eris.Wrap(carobrock.ErrRefused, err.Error())
 	}
-	return &firstPart{Version: f.version, Size: len(f.data), Digest: f.digest[:], Data: f.part(0)}, nil
+	return &firstPart{Version: f.version, Size: len(f.data), Digest: f.digest[:], Data: f.part(0), IsDifference: f.base != noBase}, nil
 }
 
 // serve returns the requested part. It fails if this replica is not the leader, and
@@ -141,9 +155,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := s.heldForm(r.Version)
+	f := s.formByDigest(r.Digest)
 	if f == nil && c != nil && c.Version == r.Version {
-		if f, err = s.form(c); err != nil {
+		if f, err = s.form(c, noBase); err != nil {
 			return nil, eris.Wrap(carobrock.ErrRefused, err.Error())
 		}
 	}
@@ -153,57 +167,102 @@
 	return &partResponse{Data: f.part(r.Offset)}, nil
 }
 
-// heldForm returns the form of a version, nil if it is not held.
-func (s *partServer) heldForm(version int64) *compressedConfiguration {
+// formByDigest returns the form with a digest, nil if it is not held.
+func (s *partServer) formByDigest(digest []byte) *compressedForm {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.use(version)
+	for _, f := range s.forms {
+		if bytes.Equal(f.digest[:], digest) {
+			return s.use(f)
+		}
+	}
+	return nil
 }
 
-// use returns the form of a version and records its use. The caller holds s.mu.
-func (s *partServer) use(version int64) *compressedConfiguration {
-	f := s.held[version]
-	if f != nil {
-		s.uses++
-		f.usedAt = s.uses
-	}
+// use records the use of a form and returns it. The caller holds s.mu.
+func (s *partServer) use(f *compressedForm) *compressedForm {
+	s.uses++
+	f.usedAt = s.uses
 	return f
 }
 
-// form returns the form of c and holds it.
-func (s *partServer) form(c *carobrock.Configuration) (*compressedConfiguration, error) {
+// form returns the form of the difference between the version base and c, or that of c
+// if the base is not held, and holds it.
+func (s *partServer) form(c *carobrock.Configuration, base int64) (*compressedForm, error) {
 	// The lock is held while c is compressed: all gateways ask for a new version at the
 	// same time.
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f := s.use(c.Version); f != nil {
-		return f, nil
+	s.addRecent(c)
+	baseConfiguration := s.recentVersion(base)
+	if baseConfiguration == nil {
+		base = noBase
 	}
-	data, err := compress(c)
+	for _, f := range s.forms {
+		if f.version == c.Version && f.base == base {
+			return s.use(f), nil
+		}
+	}
+	plain, err := encodeForm(baseConfiguration, c)
 	if err != nil {
 		return nil, err
 	}
-	f := &compressedConfiguration{version: c.Version, data: data, digest: sha256.Sum256(data)}
-	if s.held == nil {
-		s.held = map[int64]*compressedConfiguration{}
+	data, err := compress(plain)
+	if err != nil {
+		return nil, err
 	}
-	s.held[c.Version] = f
-	s.heldBytes += len(data)
-	s.use(c.Version)
-	for len(s.held) > 1 && (len(s.held) > maxHeldVersions || s.heldBytes > maxHeldBytes) {
+	f := s.use(&compressedForm{version: c.Version, base: base, data: data, digest: sha256.Sum256(data)})
+	s.forms = append(s.forms, f)
+	s.formBytes += len(data)
+	for len(s.forms) > 1 && (len(s.forms) > maxForms || s.formBytes > maxFormBytes) {
 		s.dropLeastRecentlyUsed()
 	}
 	return f, nil
 }
 
+// encodeForm returns the encoding of c, or of its difference to base if that is not nil.
+func encodeForm(base, c *carobrock.Configuration) ([]byte, error) {
+	if base == nil {
+		return encode(c)
+	}
+	d, err := newDifference(base, c)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(d)
+}
+
+// addRecent adds c to the recent versions if it is newer. The caller holds s.mu.
+func (s *partServer) addRecent(c *carobrock.Configuration) {
+	if n := len(s.recent); n > 0 && s.recent[n-1].Version >= c.Version {
+		return
+	}
+	s.recent = append(s.recent, c)
+	s.recentQueues += len(c.Queues)
+	for len(s.recent) > 1 && (len(s.recent) > maxRecent || s.recentQueues > maxRecentQueues) {
+		s.recentQueues -= len(s.recent[0].Queues)
+		s.recent = slices.Delete(s.recent, 0, 1)
+	}
+}
+
+// recentVersion returns a recent version, nil if it is not held. The caller holds s.mu.
+func (s *partServer) recentVersion(version int64) *carobrock.Configuration {
+	for _, c := range s.recent {
+		if c.Version == version {
+			return c
+		}
+	}
+	return nil
+}
+
 // dropLeastRecentlyUsed removes one form. The caller holds s.mu.
 func (s *partServer) dropLeastRecentlyUsed() {
-	var oldest *compressedConfiguration
-	for _, f := range s.held {
-		if oldest == nil || f.usedAt < oldest.usedAt {
-			oldest = f
+	oldest := 0
+	for i, f := range s.forms {
+		if f.usedAt < s.forms[oldest].usedAt {
+			oldest = i
 		}
 	}
-	delete(s.held, oldest.version)
-	s.heldBytes -= len(oldest.data)
+	s.formBytes -= len(s.forms[oldest].data)
+	s.forms = slices.Delete(s.forms, oldest, oldest+1)
 }
--- a/internal/locator/parts_test.go
+++ b/internal/locator/parts_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -70,9 +71,10 @@
 	return l
 }
 
-// fetch receives the configuration after a version. It calls between before each part.
-func fetch(l *Locator, afterVersion int64, between func()) (*carobrock.Configuration, error) {
-	c, t, err := l.WatchTransfer(context.Background(), afterVersion)
+// fetch receives the configuration after a version, by the difference to base if that is
+// not nil. It calls between before each part.
+func fetch(l *Locator, afterVersion int64, base *carobrock.Configuration, between func()) (*carobrock.Configuration, error) {
+	c, t, err := l.WatchTransfer(context.Background(), afterVersion, base)
 	for t != nil && c == nil && err == nil {
 		between()
 		c, err = t.Next(context.Background())
@@ -91,9 +93,9 @@
 	}{
 		{"undisturbed", func(*rand.Rand, *storedConfiguration, *directCalls) {}, nil},
 		{"new versions", func(_ *rand.Rand, s *storedConfiguration, d *directCalls) {
-			for range 20 { // another gateway fetches their first parts
+			for range maxForms - 1 { // another gateway fetches their first parts
 				s.current = &carobrock.Configuration{Version: s.current.Version + 1}
-				if _, _, err := newTestLocator(d).WatchTransfer(context.Background(), 0); err != nil {
+				if _, _, err := newTestLocator(d).WatchTransfer(context.Background(), 0, nil); err != nil {
 					t.Error(err)
 				}
 			}
@@ -120,14 +122,14 @@
 			calls := &directCalls{handlers: Handlers(stored)}
 			l := newTestLocator(calls)
 			want := *stored.current
-			c, err := fetch(l, 0, func() { test.between(rng, stored, calls) })
+			c, err := fetch(l, 0, nil, func() { test.between(rng, stored, calls) })
 			if !errors.Is(err, test.wantErr) {
 				t.Fatalf("error %v, want %v", err, test.wantErr)
 			}
 			calls.alter = nil
 			if err != nil { // the transfer starts again
 				want = *stored.current
-				c, err = fetch(l, 0, func() {})
+				c, err = fetch(l, 0, nil, func() {})
 			}
 			if want.Document = nil; calls.handlers[methodPart] == nil {
 				want.Document = stored.current.Document // what fake watch calls return
@@ -135,7 +137,7 @@
 			if diff := cmp.Diff(&want, c); err != nil || diff != "" {
 				t.Errorf("error %v, difference: %s", err, diff)
 			}
-			if c, err := fetch(l, want.Version+1000, func() {}); c != nil || err != nil {
+			if c, err := fetch(l, want.Version+1000, nil, func() {}); c != nil || err != nil {
 				t.Errorf("after a higher version: %v, %v", c, err)
 			}
 		})
@@ -165,8 +167,79 @@
 		"not compressed": {Size: 1, Digest: digest[:], Data: small}, "large part": {Size: 2 * partBytes, Digest: digest[:], Data: make([]byte, partBytes+1)},
 	} {
 		calls := &directCalls{handlers: map[string]messenger.Handler{methodWatchParts: func(context.Context, []byte) ([]byte, error) { return cbor.Marshal(&first) }}}
-		if c, _, err := newTestLocator(calls).WatchTransfer(context.Background(), 0); c != nil || !errors.Is(err, carobrock.ErrTransferLost) {
+		if c, _, err := newTestLocator(calls).WatchTransfer(context.Background(), 0, nil); c != nil || !errors.Is(err, carobrock.ErrTransferLost) {
 			t.Errorf("%s: error %v, want ErrTransferLost", name, err)
 		}
 	}
 }
+
+// Guards against a difference whose result is not the stored configuration, also where
+// the gateway has another configuration of the same version, and against one that is not
+// smaller than the whole.
+func TestDifferencesYieldTheStoredConfiguration(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 2))
+	stored := &storedConfiguration{current: randomConfiguration(rng, 1)}
+	stored.current.Queues = stored.current.Queues[:500]
+	received := 0
+	calls := &directCalls{handlers: Handlers(stored), alter: func(_ string, body []byte) []byte {
+		received += len(body)
+		return body
+	}}
+	l := newTestLocator(calls)
+	var held *carobrock.Configuration // of the gateway
+	lost := 0
+	for version := int64(2); version < 200; version++ {
+		next := *stored.current
+		next.Version, next.Document = version, []byte("keys")
+		next.Queues = slices.Clone(next.Queues)
+		edits := rng.IntN(4)
+		for range edits {
+			i, j := rng.IntN(len(next.Queues)), rng.IntN(len(next.Queues))
+			switch rng.IntN(6) {
+			case 0:
+				next.Queues[i], next.Queues[j] = next.Queues[j], next.Queues[i]
+			case 1:
+				next.Queues = slices.Delete(next.Queues, i, i+1)
+			case 2:
+				next.Queues = slices.Insert(next.Queues, i, carobrock.Queue{Host: "h", PathPrefix: fmt.Sprint("/new", version, "/", j, "/")})
+			case 3:
+				next.Queues[i].Priority++
+			case 4:
+				next.Queues[i%3].Policy = &carobrock.AdvisorPolicy{ValidityMillis: version}
+			case 5:
+				next.Accounts = append(slices.Clone(next.Accounts), carobrock.ClientAccount{Name: fmt.Sprint(version)})
+			}
+		}
+		if stored.current = &next; rng.IntN(4) == 0 {
+			continue // the gateway misses a version
+		}
+		isOther := held != nil && rng.IntN(8) == 0
+		if isOther {
+			other := *held
+			other.Queues = slices.Clone(other.Queues)
+			other.Queues[0].Pool = "other"
+			held = &other
+		}
+		received = 0
+		after := int64(0)
+		if held != nil {
+			after = held.Version
+		}
+		c, err := fetch(l, after, held, func() {})
+		if isOther && errors.Is(err, carobrock.ErrTransferLost) {
+			lost++
+			c, err = fetch(l, after, nil, func() {})
+		} else if held != nil && received > 2000 && stored.current.Version-held.Version < 2 {
+			t.Errorf("version %d: %d bytes for %d changes", version, received, edits)
+		}
+		want := *stored.current
+		want.Document = nil
+		if diff := cmp.Diff(&want, c); err != nil || diff != "" {
+			t.Fatalf("version %d: error %v, difference: %s", version, err, diff)
+		}
+		held = c
+	}
+	if lost == 0 {
+		t.Error("no difference to another base was refused")
+	}
+}
--- a/internal/locator/transfer.go
+++ b/internal/locator/transfer.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"errors"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/carobrock/carobrock"
@@ -29,9 +30,9 @@
 
 // WatchTransfer implements carobrock.TransferWatcher. A leader that is too old to serve
 // parts returns the whole configuration.
-func (l *Locator) WatchTransfer(ctx context.Context, afterVersion int64) (*carobrock.Configuration, carobrock.ConfigurationTransfer, error) {
+func (l *Locator) WatchTransfer(ctx context.Context, afterVersion int64, base *carobrock.Configuration) (*carobrock.Configuration, carobrock.ConfigurationTransfer, error) {
 	var first *firstPart
-	err := l.callLeader(ctx, methodWatchParts, afterVersion, &first)
+	err := l.callLeader(ctx, methodWatchParts, &watchRequest{AfterVersion: afterVersion, HasBase: base != nil}, &first)
 	if isUnknownMethod(err) {
 		c, err := l.WatchConfiguration(ctx, afterVersion)
 		return c, nil, err
@@ -42,7 +43,10 @@
 	if first.Size <= 0 || first.Size > maxConfigurationBytes || len(first.Digest) != sha256.Size {
 		return nil, nil, eris.Wrapf(carobrock.ErrTransferLost, "first part of a configuration of %d bytes is not valid", first.Size)
 	}
-	t := &transfer{locator: l, request: partRequest{Version: first.Version, Digest: first.Digest}, size: first.Size}
+	if !first.IsDifference {
+		base = nil
+	}
+	t := &transfer{base: base, locator: l, request: partRequest{Version: first.Version, Digest: first.Digest}, size: first.Size}
 	if err := t.add(first.Data); err != nil {
 		return nil, nil, err
 	}
@@ -59,6 +63,7 @@
 	request partRequest // of the next part; Offset is the size of data
 	size    int
 	data    []byte
+	base    *carobrock.Configuration // of the difference, nil if there is none
 }
 
 func (t *transfer) isComplete() bool { return len(t.data) == t.size }
@@ -78,7 +83,7 @@
 	if digest := sha256.Sum256(t.data); !bytes.Equal(digest[:], t.request.Digest) {
 		return nil, eris.Wrap(carobrock.ErrTransferLost, "the parts do not match the digest")
 	}
-	c, err := decompress(t.data)
+	c, err := decodeForm(t.data, t.base)
 	if err != nil {
 		return nil, eris.Wrap(carobrock.ErrTransferLost, err.Error())
 	}
@@ -88,6 +93,24 @@
 	return c, nil
 }
 
+// decodeForm returns the configuration of a compressed form, which is a difference if
+// base is not nil.
+func decodeForm(data []byte, base *carobrock.Configuration) (*carobrock.Configuration, error) {
+	plain, err := decompress(data)
+	if err != nil {
+		return nil, err
+	}
+	if base == nil {
+		c := &carobrock.Configuration{}
+		return c, cbor.Unmarshal(plain, c)
+	}
+	d := &difference{}
+	if err := cbor.Unmarshal(plain, d); err != nil {
+		return nil, err
+	}
+	return d.apply(base)
+}
+
 // Next implements carobrock.ConfigurationTransfer.
 func (t *transfer) Next(ctx context.Context) (*carobrock.Configuration, error) {
 	var response partResponse
@@ -106,10 +129,10 @@
 
 // WatchTransfer implements carobrock.TransferWatcher. The local replica, if it is the
 // leader, returns the whole configuration.
-func (n *LocalFirstControl) WatchTransfer(ctx context.Context, afterVersion int64) (*carobrock.Configuration, carobrock.ConfigurationTransfer, error) {
+func (n *LocalFirstControl) WatchTransfer(ctx context.Context, afterVersion int64, base *carobrock.Configuration) (*carobrock.Configuration, carobrock.ConfigurationTransfer, error) {
 	c, err := n.Local.WatchConfiguration(ctx, afterVersion)
 	if n.shouldForward(err) {
-		return n.Remote.WatchTransfer(ctx, afterVersion)
+		return n.Remote.WatchTransfer(ctx, afterVersion, base)
 	}
 	return c, nil, err
 }
--- a/internal/submitter/receive.go
+++ b/internal/submitter/receive.go
@@ -26,11 +26,16 @@
 	if !ok {
 		return s.Control.WatchConfiguration(callCtx, s.currentVersion())
 	}
-	c, transfer, err := control.WatchTransfer(callCtx, s.currentVersion())
+	version, base := s.currentVersion(), s.currentConfiguration()
+	if s.isTransferLost {
+		base = nil
+	}
+	c, transfer, err := control.WatchTransfer(callCtx, version, base)
 	if transfer != nil {
 		c, err = s.receive(ctx, transfer)
 	}
-	if errors.Is(err, carobrock.ErrTransferLost) {
+	s.isTransferLost = errors.Is(err, carobrock.ErrTransferLost)
+	if s.isTransferLost {
 		s.countTransfer(0, 1)
 	}
 	return c, err
--- a/internal/submitter/receive_test.go
+++ b/internal/submitter/receive_test.go
@@ -16,14 +16,18 @@
 	*fakeLeader
 	parts     int // of a configuration
 	transfers int // that were started
+	losesBase bool
 }
 
-func (l *partsLeader) WatchTransfer(ctx context.Context, afterVersion int64) (*carobrock.Configuration, carobrock.ConfigurationTransfer, error) {
+func (l *partsLeader) WatchTransfer(ctx context.Context, afterVersion int64, base *carobrock.Configuration) (*carobrock.Configuration, carobrock.ConfigurationTransfer, error) {
 	c, err := l.WatchConfiguration(ctx, afterVersion)
 	if c == nil || err != nil {
 		return nil, nil, err
 	}
 	l.transfers++
+	if l.losesBase && base != nil {
+		return nil, nil, carobrock.ErrTransferLost
+	}
 	return nil, &fakeTransfer{leader: l, configuration: c, remaining: l.parts}, nil
 }
 
@@ -49,13 +53,15 @@
 func TestOlderCopyIsNotConfirmedDuringATransfer(t *testing.T) {
 	for _, test := range []struct {
 		name      string
+		losesBase bool
 		cutOff    time.Duration // begins with the third part
 		transfers int           // of the second configuration
 		received  time.Duration // after which the gateway has it
 	}{
-		{"connected", 0, 1, 5 * time.Second},
-		{"failed parts", transferStallTimeout - 2*time.Second, 1, 10 * time.Second},
-		{"no progress", 2 * transferStallTimeout, 2, 24 * time.Second},
+		{"connected", false, 0, 1, 5 * time.Second},
+		{"failed parts", false, transferStallTimeout - 2*time.Second, 1, 10 * time.Second},
+		{"difference to another base", true, 0, 2, 6 * time.Second},
+		{"no progress", false, 2 * transferStallTimeout, 2, 24 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -69,7 +75,7 @@
 				group.Go(func() { _ = g.Run(ctx) })
 				time.Sleep(time.Second)
 				g.wantSubmitError("ka", nil)
-				leader.parts, leader.transfers = 10, 0
+				leader.parts, leader.transfers, leader.losesBase = 10, 0, test.losesBase
 				leader.store(withAccounts(2, []string{"a", "kb"}))
 				time.Sleep(1100 * time.Millisecond)
 				leader.setCutOff(test.cutOff > 0)
--- a/internal/submitter/slowlink_test.go
+++ b/internal/submitter/slowlink_test.go
@@ -287,9 +287,10 @@
 				t.Errorf("%d reads failed", failed)
 			}
 		})
-		// waitForVersion waits until the gateway has the version, configApplyTime at most.
-		waitForVersion := func(version int64) {
-			stored := time.Now()
+		// waitForVersion waits until a gateway has the version, which has just been stored,
+		// configApplyTime at most.
+		stored := began
+		waitForVersion := func(gateway *submitter.Submitter, version int64) {
 			for gateway.Status().Version < version {
 				if time.Since(stored) > configApplyTime {
 					t.Errorf("after %v the gateway has version %d, want %d", time.Since(stored), gateway.Status().Version, version)
@@ -299,7 +300,10 @@
 			}
 			t.Logf("version %d applied after %v", version, time.Since(stored))
 		}
-		waitForVersion(1)
+		waitForVersion(gateway, 1)
+		// This gateway receives its first configuration during the changes.
+		late := &submitter.Submitter{Control: loc, Logger: zerolog.Nop()}
+		group.Go(func() { _ = late.Run(ctx) })
 		version := int64(1)
 		for start := time.Now(); time.Since(start) < changeTime; {
 			version++
@@ -308,6 +312,8 @@
 		}
 		version++
 		leader.store(withQueues(version, queues))
-		waitForVersion(version)
+		stored = time.Now()
+		waitForVersion(gateway, version)
+		waitForVersion(late, version)
 	})
 }
--- a/internal/submitter/submitter.go
+++ b/internal/submitter/submitter.go
@@ -50,6 +50,9 @@
 	Logger zerolog.Logger
 
 	refusals refusals
+	// isTransferLost is set if the last watch failed with carobrock.ErrTransferLost. It is
+	// used by Run only.
+	isTransferLost bool
 
 	mu          sync.Mutex
 	current     *carobrock.Configuration
@@ -120,12 +123,17 @@
 // currentVersion returns the version of the current configuration, -1 if there is
 // none.
 func (s *Submitter) currentVersion() int64 {
+	if c := s.currentConfiguration(); c != nil {
+		return c.Version
+	}
+	return -1
+}
+
+// currentConfiguration returns the current configuration, nil if there is none.
+func (s *Submitter) currentConfiguration() *carobrock.Configuration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current == nil {
-		return -1
-	}
-	return s.current.Version
+	return s.current
 }
 
 // isFresh reports whether the configuration was confirmed within StaleAfter. The
--- a/jobcontrol.go
+++ b/jobcontrol.go
@@ -61,21 +61,23 @@
 	// WatchTransfer is WatchConfiguration, but may return a transfer of the newer
 	// configuration instead, which is then larger than one part. At most one of the
 	// configuration and the transfer is not nil. If the first part is not valid, it
-	// returns an error that wraps ErrTransferLost.
-	WatchTransfer(ctx context.Context, afterVersion int64) (*Configuration, ConfigurationTransfer, error)
+	// returns an error that wraps ErrTransferLost. base is the version afterVersion, of
+	// which the leader may send only the difference, or nil. It is not modified.
+	WatchTransfer(ctx context.Context, afterVersion int64, base *Configuration) (*Configuration, ConfigurationTransfer, error)
 }
 
 // ConfigurationTransfer is a transfer of one version of the configuration. It is for use
 // by one goroutine.
 type ConfigurationTransfer interface {
 	// Next fetches the next part and returns the configuration after the last one, nil
-	// before. After an error that wraps ErrTransferLost the transfer must be abandoned.
+	// before. After an error that wraps ErrTransferLost the transfer must be abandoned, and
+	// the next one be started without a base.
 	// After any other error the next call fetches the same part.
 	Next(ctx context.Context) (*Configuration, error)
 }
 
 // ErrTransferLost reports that the leader does not hold the version of a transfer any
-// more, or that the parts are damaged.
+// more, that the parts are damaged, or that the base is not the one of the leader.
 var ErrTransferLost = eris.New("carobrock: the transfer of the configuration cannot be continued")
 
 // AccountStatus is what a client account has running and waiting.
