Dispatcher: tell why jobs wait

Place now leaves a reason in each request that it does not place: behind others, no room, interference, gang, ticket, account limit, isolation. Once a second, in a round that considers all tasks, the leader counts the jobs of which tasks could run and none runs, by class and reason with a histogram of ages, and lists the ten oldest. The dump section and the metric "waits" show that. At most every 5 s one line names the oldest job that waits beyond five times its objective, with the numbers by reason. The constraint that excluded all workers is not told apart from lack of room.

--- a/cmd/carobrock/operations.go
+++ b/cmd/carobrock/operations.go
@@ -84,6 +84,11 @@
 		{Name: "accounts", State: accounts},
 		{Name: "intake", State: intake},
 	}
+	if n.replica != nil {
+		waits := func() any { return n.replica.Waits() }
+		publishMetric("waits", waits)
+		sections = append(sections, dumper.Section{Name: "waits", State: waits})
+	}
 	if n.submitter == nil {
 		return sections
 	}
--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -27,18 +27,20 @@
 	defer func() { setIsolated(allAwaited, false) }()
 	unplaceable := map[placementClass]*Request{}
 	for i := range requests {
+		requests[i].HeldCount, requests[i].WaitReason = 0, BehindOthers
 		if len(out) >= limit {
-			break
+			continue
 		}
-		requests[i].HeldCount = 0
 		if !requests[i].hasRoomFor(requests[i].minCount()) {
-			requests[i].HeldCount = len(requests[i].Indices)
+			requests[i].HeldCount, requests[i].WaitReason = len(requests[i].Indices), AccountLimit
 			continue
 		}
-		if isKnownUnplaceable(unplaceable, &requests[i]) {
+		if other := knownUnplaceable(unplaceable, &requests[i]); other != nil {
+			requests[i].WaitReason = other.WaitReason
 			continue
 		}
 		if requests[i].IsIsolated {
+			requests[i].WaitReason = AwaitsIsolation
 			placed, awaited := a.placeIsolated(&requests[i], workers)
 			out = append(out, placed...)
 			setIsolated(awaited, true)
@@ -46,14 +48,21 @@
 			continue
 		}
 		if requests[i].Step.Gang {
+			requests[i].WaitReason = GangDoesNotFit
 			out = append(out, a.placeGang(&requests[i], workers)...)
 			continue
 		}
 		placed := a.placeIndividually(&requests[i], workers, limit-len(out))
 		// Tasks that are held back by the limit of their account say nothing about the
 		// workers, which may have capacity for other accounts.
-		if requests[i].HeldCount == 0 && len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit && isUnconstrained(&requests[i]) {
-			unplaceable[classOf(&requests[i])] = &requests[i]
+		switch {
+		case requests[i].HeldCount > 0:
+			requests[i].WaitReason = AccountLimit
+		case len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit:
+			requests[i].WaitReason = unplacedReason(&requests[i], workers)
+			if isUnconstrained(&requests[i]) {
+				unplaceable[classOf(&requests[i])] = &requests[i]
+			}
 		}
 		out = append(out, placed...)
 	}
@@ -81,12 +90,15 @@
 	return r.Step.Label == "" && r.Step.MaxPerWorker == 0 && !r.NeedsTicket && len(r.Avoid) == 0
 }
 
-// isKnownUnplaceable reports whether an earlier request of this call found too few
-// workers and is no harder to place than r, so that r would not find one either.
+// knownUnplaceable returns an earlier request of this call that found too few workers
+// and is no harder to place than r, so that r would not find one either, or nil.
 // unplaceable holds the last of these requests of each class.
-func isKnownUnplaceable(unplaceable map[placementClass]*Request, r *Request) bool {
+func knownUnplaceable(unplaceable map[placementClass]*Request, r *Request) *Request {
 	other := unplaceable[classOf(r)]
-	return other != nil && r.MinPaceFraction >= other.MinPaceFraction && other.Step.Committed().Fits(r.Step.Committed())
+	if other != nil && r.MinPaceFraction >= other.MinPaceFraction && other.Step.Committed().Fits(r.Step.Committed()) {
+		return other
+	}
+	return nil
 }
 
 // placeIndividually assigns the tasks of a request one at a time, at most limit.
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -77,6 +77,9 @@
 	// HeldCount is set by Place to the number of tasks that it did not place because
 	// they exceed Room.
 	HeldCount int
+	// WaitReason is set by Place to the reason why tasks of the request were not placed.
+	// It has no meaning if all of them were.
+	WaitReason WaitReason
 	// IsSuspect is set if the tasks are suspected of crashing workers. They get the
 	// workers with the fewest runs.
 	IsSuspect bool
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -122,6 +122,8 @@
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
 	// ID.
 	jobLoadEstimates map[string]map[*loadEstimate]bool
+	// waits holds why jobs wait.
+	waits waitTable
 	// accounts holds what is derived for the client accounts.
 	accounts accountTable
 }
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -105,3 +105,22 @@
 
 // EncodedLength is encodedLength.
 func EncodedLength(s string) int { return encodedLength(s) }
+
+// PlanRound plans a placement round without committing its command, and returns the
+// number of assignments. The round considers all waiting tasks if isFull is set.
+func (d *Dispatcher) PlanRound(isFull bool) int {
+	now := time.Now()
+	d.mu.Lock()
+	if d.lastFullRound = now; isFull {
+		d.lastFullRound = time.Time{}
+	}
+	for _, w := range d.workers {
+		w.receivedAt, w.leaseExpiry = now, now.Add(time.Hour)
+	}
+	d.mu.Unlock()
+	c, _ := d.planRound(now)
+	if c == nil {
+		return 0
+	}
+	return len(c.Assign)
+}
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -107,7 +107,7 @@
 
 // harness runs a dispatcher with its replicated state in a synctest bubble.
 type harness struct {
-	t            *testing.T
+	t            testing.TB
 	log          *fakeLog
 	stateMachine *bookkeeper.StateMachine
 	d            *dispatcher.Dispatcher
@@ -119,7 +119,7 @@
 
 // newHarness starts a dispatcher that leads in term 1, with one pool and one
 // queue that allows three attempts. The caller must call stop.
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	t.Helper()
 	h := prepareHarness(t)
 	h.start(nil)
@@ -127,7 +127,7 @@
 }
 
 // prepareHarness returns a harness whose dispatcher is not started.
-func prepareHarness(t *testing.T) *harness {
+func prepareHarness(t testing.TB) *harness {
 	t.Helper()
 	l := &bookkeeper.StateMachine{}
 	l.Prepare()
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -135,6 +135,7 @@
 			d.forgetSilentWorkers(s, now)
 			d.fillersWait = hasUnplacedFillers(requests, c.Assign)
 			d.rhythm.adjust()
+			d.recordWaits(s, requests, c.Assign, now)
 			d.logLoad(s, now)
 			d.moveSlowedFillers(s, candidates, now)
 			d.evictShortages(s, now)
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -232,6 +232,9 @@
 	}
 }
 
+// Waits returns why jobs wait, if this replica is the leader.
+func (j *JobReplica) Waits() dispatcher.WaitStatus { return j.dispatcher.Waits() }
+
 // SetSeeds replaces the peer addresses at which the replica looks for the group.
 func (j *JobReplica) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
 
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strconv"
 
 	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
@@ -50,6 +51,18 @@
 	timelinessClasses // number of classes
 )
 
+// timelinessNames are the names of the timeliness classes in metrics.
+var timelinessNames = [timelinessClasses]string{"onTime", "late", "tooLate"}
+
+// ClassName returns the name of the class in metrics: "service", or the priority of the
+// queue and the timeliness, as in "0/late".
+func (u Urgency) ClassName() string {
+	if u.Class < 0 {
+		return "service"
+	}
+	return strconv.Itoa(u.Class/timelinessClasses) + "/" + timelinessNames[u.Class%timelinessClasses]
+}
+
 // lateFactor is the multiple of its time objective within which a job that
 // finishes late still has some value.
 const lateFactor = 3
@@ -62,9 +75,8 @@
 	if j.Spec.Steps[i].Service {
 		return Urgency{Class: -1}
 	}
-	dueMillis := max(j.SubmittedUnixMillis, j.Spec.DueUnixMillis(k))
-	objectiveMillis := int64(j.Queue.StretchFactor*float64(criticalPathMillis(j, nil))) + j.Queue.TargetMillis
-	finishMillis := atMillis + criticalPathMillis(j, o) - dueMillis
+	objectiveMillis := ObjectiveMillis(j)
+	finishMillis := atMillis + criticalPathMillis(j, o) - DueMillis(j, k)
 	timeliness := tooLate
 	switch {
 	case finishMillis <= objectiveMillis:
@@ -77,6 +89,18 @@
 	}
 }
 
+// DueMillis returns when occurrence k of a job was due, in milliseconds since 1970. The
+// time objective counts from then.
+func DueMillis(j *bookkeeper.Job, k int) int64 {
+	return max(j.SubmittedUnixMillis, j.Spec.DueUnixMillis(k))
+}
+
+// ObjectiveMillis returns the time objective of each occurrence of a job, in
+// milliseconds.
+func ObjectiveMillis(j *bookkeeper.Job) int64 {
+	return int64(j.Queue.StretchFactor*float64(criticalPathMillis(j, nil))) + j.Queue.TargetMillis
+}
+
 // criticalPathMillis returns the length of the critical path of the steps that
 // are not done, or of all steps if o is nil: the longest chain of estimated run
 // times, in milliseconds.
