Allocator: a filler isn't held back by one with more CPU

Callers saw accepted jobs that never started while workers had room for them. One cause: Place skips a request if an earlier one of the same image found no worker and asks for no more. For fillers it compared only what is committed, that is the memory, although the load that a filler adds to services grows with its CPU. A filler with less CPU and more memory was skipped because of a larger one, in each round in which such a one waited before it; jobs whose value is gone come last, so this hit the oldest.

Place now compares the full sizes, and remembers all requests of a class that found no worker instead of the last. As more requests are tried, the headroom that an image uses is derived once for each worker and call instead of once for each request.

The property test compared Place with a naive version only beside workers without services. With services it fails before the change ("[rapid] failed after 151 tests: assignments (-naive +got)"), and passes 50,000 checks after it.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -25,7 +25,8 @@
 	var out []carobrock.TaskAssignment
 	var allAwaited []*Worker
 	defer func() { setIsolated(allAwaited, false) }()
-	unplaceable := map[placementClass]*Request{}
+	unplaceable := map[placementClass][]*Request{}
+	scores := &scoreTable{allocator: a, workers: workers, scores: make([]float64, len(workers)), headroom: map[string][]float64{}}
 	for i := range requests {
 		requests[i].HeldCount, requests[i].WaitReason = 0, BehindOthers
 		if len(out) >= limit {
@@ -42,6 +43,7 @@
 		if requests[i].IsIsolated {
 			requests[i].WaitReason = AwaitsIsolation
 			placed, awaited := a.placeIsolated(&requests[i], workers)
+			scores.forgetHeadroom(&requests[i])
 			out = append(out, placed...)
 			setIsolated(awaited, true)
 			allAwaited = append(allAwaited, awaited...)
@@ -50,9 +52,10 @@
 		if requests[i].Step.Gang {
 			requests[i].WaitReason = GangDoesNotFit
 			out = append(out, a.placeGang(&requests[i], workers)...)
+			scores.forgetHeadroom(&requests[i])
 			continue
 		}
-		placed := a.placeIndividually(&requests[i], workers, limit-len(out))
+		placed := a.placeIndividually(&requests[i], scores, limit-len(out))
 		// Tasks that are held back by the limit of their account say nothing about the
 		// workers, which may have capacity for other accounts.
 		switch {
@@ -61,7 +64,8 @@
 		case len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit:
 			requests[i].WaitReason = unplacedReason(&requests[i], workers)
 			if isUnconstrained(&requests[i]) {
-				unplaceable[classOf(&requests[i])] = &requests[i]
+				class := classOf(&requests[i])
+				unplaceable[class] = append(unplaceable[class], &requests[i])
 			}
 		}
 		out = append(out, placed...)
@@ -92,11 +96,13 @@
 
 // knownUnplaceable returns an earlier request of this call that found too few workers
 // and is no harder to place than r, so that r would not find one either, or nil.
-// unplaceable holds the last of these requests of each class.
-func knownUnplaceable(unplaceable map[placementClass]*Request, r *Request) *Request {
-	other := unplaceable[classOf(r)]
-	if other != nil && r.MinPaceFraction >= other.MinPaceFraction && other.Step.Committed().Fits(r.Step.Committed()) {
-		return other
+// unplaceable holds these requests by class. What a filler adds to the load of services
+// depends on its full size, although no CPU is committed to it.
+func knownUnplaceable(unplaceable map[placementClass][]*Request, r *Request) *Request {
+	for _, other := range unplaceable[classOf(r)] {
+		if r.MinPaceFraction >= other.MinPaceFraction && other.Step.Size.Fits(r.Step.Size) {
+			return other
+		}
 	}
 	return nil
 }
@@ -104,11 +110,11 @@
 // placeIndividually assigns the tasks of a request one at a time, at most limit.
 // A worker's score changes only when it is assigned a task, so only that score is
 // computed again.
-func (a *Allocator) placeIndividually(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
+func (a *Allocator) placeIndividually(r *Request, t *scoreTable, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
-	scores := make([]float64, len(workers))
-	for i, w := range workers {
-		scores[i] = a.scoreOrIneligible(r, w)
+	uses := t.headroomFor(r)
+	for i := range t.workers {
+		t.scores[i] = t.score(r, i, uses)
 	}
 	for i := range r.Indices {
 		if len(out) >= limit {
@@ -118,12 +124,15 @@
 			r.HeldCount = len(r.Indices) - i
 			break
 		}
-		top := indexOfMax(scores)
+		top := indexOfMax(t.scores)
 		if top < 0 {
 			break
 		}
-		out = append(out, a.assignTask(r, i, workers[top]))
-		scores[top] = a.scoreOrIneligible(r, workers[top])
+		out = append(out, a.assignTask(r, i, t.workers[top]))
+		if r.Step.Filler {
+			t.forgetWorker(top)
+		}
+		t.scores[top] = t.score(r, top, uses)
 	}
 	return out
 }
@@ -140,7 +149,12 @@
 	if !r.Step.Filler {
 		return scoreWorker(r, w)
 	}
-	use := pacer.HeadroomUse(a.Model, w.Services, describeFiller(r.Step, w))
+	return scoreFiller(r, w, pacer.HeadroomUse(a.Model, w.Services, describeFiller(r.Step, w)))
+}
+
+// scoreFiller returns the score of a worker for a filler that uses a fraction of the
+// headroom of its services, or ineligible.
+func scoreFiller(r *Request, w *Worker, use float64) float64 {
 	if use*r.MinPaceFraction > 1 {
 		return ineligible
 	}
@@ -351,7 +365,12 @@
 
 // describeFiller describes a filler task of a step on a worker to the model.
 func describeFiller(step *carobrock.Step, w *Worker) pacer.Filler {
-	return pacer.Filler{Image: step.Image, Share: float64(step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))}
+	return pacer.Filler{Image: step.Image, Share: cpuShare(step, w)}
+}
+
+// cpuShare returns the fraction of a worker's processors that a task requests.
+func cpuShare(step *carobrock.Step, w *Worker) float64 {
+	return float64(step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
 }
 
 // sameImageShare returns the fraction of the worker's service tasks that run
--- a/internal/allocator/unplaceable_test.go
+++ b/internal/allocator/unplaceable_test.go
@@ -13,9 +13,11 @@
 )
 
 // TestPlaceSkipsOnlyHopelessRequests compares Place with a naive version that tries
-// every request.
+// every request. Guards against fillers that wait because one of the same image with
+// less memory, but more CPU, was too much for the services of all workers.
 func TestPlaceSkipsOnlyHopelessRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		loads := rapid.SliceOfN(rapid.Float64Range(0, 0.9), 4, 4).Draw(t, "loads")
 		newFleet := func() []*Worker {
 			var fleet []*Worker
 			for i := range 4 {
@@ -23,6 +25,7 @@
 				fleet = append(fleet, &Worker{
 					Incarnation: carobrock.WorkerIncarnation{Name: fmt.Sprint("w", i)}, Pool: fmt.Sprint("p", i%2), Capacity: c, Free: c, SpareMilliCPU: c.MilliCPU,
 					Labels: []string{fmt.Sprint("l", i%3)}, ServicesByImage: map[string]int{},
+					Services: []pacer.Service{{Image: "s", Load: loads[i], Limit: 0.9}},
 				})
 			}
 			return fleet
@@ -34,7 +37,7 @@
 				Image: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "image"), Label: rapid.SampledFrom([]string{"", "", "l1"}).Draw(t, "label"),
 				Size: carobrock.Capacity{MilliCPU: rapid.Int64Range(500, 3000).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(100, 2500).Draw(t, "memory")},
 			}
-			r := Request{Job: fmt.Sprint("j", i), Step: step, Pool: rapid.SampledFrom([]string{"p0", "p1"}).Draw(t, "pool")}
+			r := Request{Job: fmt.Sprint("j", i), Step: step, Pool: rapid.SampledFrom([]string{"p0", "p1"}).Draw(t, "pool"), MinPaceFraction: rapid.SampledFrom([]float64{0.25, 1}).Draw(t, "pace")}
 			for n := range step.Count {
 				r.Indices, r.Attempts = append(r.Indices, n), append(r.Attempts, 1)
 			}
@@ -53,3 +56,19 @@
 		}
 	})
 }
+
+// Guards against the same fault with the sizes of a case: the second filler fits beside
+// the service, and was skipped because of the first.
+func TestFillerIsNotHeldBackByOneWithMoreCPU(t *testing.T) {
+	c := carobrock.Capacity{MilliCPU: 16000, MemoryMB: 64000}
+	fleet := []*Worker{{Pool: "p", Capacity: c, Free: c, Services: []pacer.Service{{Image: "s", Load: 0.1, Limit: 0.9}}}}
+	var requests []Request
+	for i, size := range []carobrock.Capacity{{MilliCPU: 7000, MemoryMB: 5648}, {MilliCPU: 4000, MemoryMB: 8864}} {
+		step := &carobrock.Step{Count: 1, Filler: true, Image: "f", Size: size}
+		requests = append(requests, Request{Job: fmt.Sprint("j", i), Step: step, Pool: "p", MinPaceFraction: 1, Indices: []int{0}, Attempts: []uint64{1}})
+	}
+	out := (&Allocator{Model: &pacer.Model{}}).Place(requests, fleet, 10)
+	if len(out) != 1 || out[0].Task.Job != "j1" || requests[0].WaitReason != Interference {
+		t.Errorf("assigned %v, reason of the first %q", out, requests[0].WaitReason)
+	}
+}
