Dispatcher: the wait of an accepted job is bounded

Jobs whose value is gone come after all others, youngest first, so under overload the oldest waited as long as the traffic lasted and formed the backlog at its end.

Of the tasks of a pool, priority and kind that are placed, one in 32 is now that of the oldest jobs that are too late and of which nothing runs, one task of each, before all others of the priority; in addition one task a second for 50 workers, so that waits are bounded where few tasks are placed (no test of its own). If the oldest job finds no room for 2 s, a worker is kept free for it, for at most one worker in 50 (at least one) and kind of task. Where nothing of a kind was placed for 1 s although some wait, up to eight of the oldest are tried in each round that considers all tasks. Gangs come first in their turn, but no workers are kept free for them.

TestRequestsWithoutAccountsAreUnchanged compares requests without the promoted tasks, which aging_test.go covers; its check is otherwise the same.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -28,51 +28,61 @@
 	unplaceable := map[placementClass][]*Request{}
 	scores := &scoreTable{allocator: a, workers: workers, scores: make([]float64, len(workers)), headroom: map[string][]float64{}}
 	for i := range requests {
-		requests[i].HeldCount, requests[i].WaitReason = 0, BehindOthers
+		r := &requests[i]
+		r.HeldCount, r.PlacedCount, r.WaitReason = 0, 0, BehindOthers
 		if len(out) >= limit {
 			continue
 		}
-		if !requests[i].hasRoomFor(requests[i].minCount()) {
-			requests[i].HeldCount, requests[i].WaitReason = len(requests[i].Indices), AccountLimit
-			continue
-		}
-		if other := knownUnplaceable(unplaceable, &requests[i]); other != nil {
-			requests[i].WaitReason = other.WaitReason
-			continue
-		}
-		if requests[i].IsIsolated {
-			requests[i].WaitReason = AwaitsIsolation
-			placed, awaited := a.placeIsolated(&requests[i], workers)
-			scores.forgetHeadroom(&requests[i])
-			out = append(out, placed...)
-			setIsolated(awaited, true)
-			allAwaited = append(allAwaited, awaited...)
-			continue
-		}
-		if requests[i].Step.Gang {
-			requests[i].WaitReason = GangDoesNotFit
-			out = append(out, a.placeGang(&requests[i], workers)...)
-			scores.forgetHeadroom(&requests[i])
-			continue
-		}
-		placed := a.placeIndividually(&requests[i], scores, limit-len(out))
-		// Tasks that are held back by the limit of their account say nothing about the
-		// workers, which may have capacity for other accounts.
-		switch {
-		case requests[i].HeldCount > 0:
-			requests[i].WaitReason = AccountLimit
-		case len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit:
-			requests[i].WaitReason = unplacedReason(&requests[i], workers)
-			if isUnconstrained(&requests[i]) {
-				class := classOf(&requests[i])
-				unplaceable[class] = append(unplaceable[class], &requests[i])
-			}
-		}
+		placed, awaited := a.placeRequest(r, scores, unplaceable, limit-len(out))
+		r.PlacedCount = len(placed)
 		out = append(out, placed...)
+		if r.Reserved != nil && !r.Reserved.IsIsolated && len(placed) == 0 {
+			awaited = append(awaited, r.Reserved)
+		}
+		setIsolated(awaited, true)
+		allAwaited = append(allAwaited, awaited...)
 	}
 	return out
 }
 
+// placeRequest returns assignments for the tasks of a request, at most limit, and the
+// workers that are to be kept free of the tasks of later requests.
+func (a *Allocator) placeRequest(r *Request, scores *scoreTable, unplaceable map[placementClass][]*Request, limit int) (placed []carobrock.TaskAssignment, awaited []*Worker) {
+	if !r.hasRoomFor(r.minCount()) {
+		r.HeldCount, r.WaitReason = len(r.Indices), AccountLimit
+		return nil, nil
+	}
+	if other := knownUnplaceable(unplaceable, r); other != nil {
+		r.WaitReason = other.WaitReason
+		return nil, nil
+	}
+	switch {
+	case r.IsIsolated:
+		r.WaitReason = AwaitsIsolation
+		placed, awaited = a.placeIsolated(r, scores.workers)
+		scores.forgetHeadroom(r)
+		return placed, awaited
+	case r.Step.Gang:
+		r.WaitReason = GangDoesNotFit
+		placed = a.placeGang(r, scores.workers)
+		scores.forgetHeadroom(r)
+		return placed, nil
+	}
+	placed = a.placeIndividually(r, scores, limit)
+	switch {
+	// Tasks that are held back by the limit of their account say nothing about the
+	// workers, which may have capacity for other accounts.
+	case r.HeldCount > 0:
+		r.WaitReason = AccountLimit
+	case len(placed) < len(r.Indices) && len(placed) < limit:
+		r.WaitReason = unplacedReason(r, scores.workers)
+		if isUnconstrained(r) {
+			unplaceable[classOf(r)] = append(unplaceable[classOf(r)], r)
+		}
+	}
+	return placed, nil
+}
+
 // placementClass is what the eligibility of workers for a request depends on, apart
 // from its size and constraints. Only fillers depend on their image.
 type placementClass struct {
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -77,12 +77,19 @@
 	// HeldCount is set by Place to the number of tasks that it did not place because
 	// they exceed Room.
 	HeldCount int
+	// PlacedCount is set by Place to the number of tasks that it assigned.
+	PlacedCount int
 	// WaitReason is set by Place to the reason why tasks of the request were not placed.
 	// It has no meaning if all of them were.
 	WaitReason WaitReason
 	// IsSuspect is set if the tasks are suspected of crashing workers. They get the
 	// workers with the fewest runs.
 	IsSuspect bool
+	// IsAged is set if the tasks come before others because their job has waited long.
+	IsAged bool
+	// Reserved is a worker that gets no tasks of the requests after this one if no task of
+	// this one can be placed. It is nil if there is none.
+	Reserved *Worker
 	// IsIsolated is set if the tasks must get a worker without recent runs, to which
 	// no other task may be assigned afterwards. Unless the step is a gang, the request
 	// has one task.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,6 +115,8 @@
 	// fillersWait is set if it left over fillers.
 	lastFullRound time.Time
 	fillersWait   bool
+	// aging bounds the waits of jobs that come after all others.
+	aging agingTable
 	// ranked is the memory for the requests of a round.
 	ranked []rankedRequest
 	// suspectsSince is when each waiting suspect was first found waiting.
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -70,12 +70,15 @@
 // CompareRequestsWithoutAccounts compares the requests of a placement round with those
 // that are derived in the simplest way: all waiting steps in the order of their urgency,
 // whole and without rooms. The configuration must not list client accounts, and no task
-// may be a suspect. It returns the number of requests.
+// may be a suspect. Aged tasks are not promoted. It returns the number of requests.
 func (d *Dispatcher) CompareRequestsWithoutAccounts() (n int, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		now := time.Now()
+		aging := d.aging
+		defer func() { d.aging = aging }()
+		d.aging = agingTable{}
 		var want []rankedRequest
 		for _, j := range s.Open {
 			for k, o := range j.Occurrences {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -120,9 +120,11 @@
 		d.releaseResponsesWithStops(s)
 		candidates := d.candidateWorkers(s, now)
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
+		d.resetAging()
 		requests := d.waitingRequests(s, round, isFull, ending, candidates, now)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
+			d.settleAging(s, requests, len(candidates), isFull, now)
 			d.markIsolated(requests, c)
 			d.recordMachines(s, c)
 			for i := range c.Assign {
@@ -267,7 +269,8 @@
 // waitingRequests returns the waiting tasks that are due, most urgent first, except
 // those in ending. Unless includeAll is set, fillers are left out if some were left over in the last
 // round that considered all: there are many of them, the loads of services change
-// slowly, and new jobs must not overtake those that wait. Left out as well are tasks
+// slowly, and new jobs must not overtake those that wait. Jobs for which a worker is
+// kept free are not left out. Left out as well are tasks
 // that do not fit in what the limit of their client account leaves. round is nil if
 // there are no accounts.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, round *accountRound, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
@@ -295,7 +298,7 @@
 				break
 			}
 			for i := range j.Spec.Steps {
-				if j.Spec.Steps[i].Filler && !includeAll && d.fillersWait {
+				if j.Spec.Steps[i].Filler && !includeAll && d.fillersWait && !d.aging.reservedJobs[j.Spec.ID] {
 					continue
 				}
 				if round != nil && !includeAll && !round.mayPlace(account, &j.Spec.Steps[i]) {
@@ -324,6 +327,7 @@
 	if includeAll {
 		d.suspectsSince = suspects.since
 	}
+	ranked = d.promoteAged(s, ranked, includeAll, candidates, now)
 	d.ranked = ranked
 	order := sortedOrder(ranked)
 	if round != nil {
--- a/internal/ranker/ranker.go
+++ b/internal/ranker/ranker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"strconv"
 
 	"github.com/carobrock/carobrock"
@@ -51,6 +52,14 @@
 	timelinessClasses // number of classes
 )
 
+// IsTooLate reports whether the job is so late that finishing it has no value.
+func (u Urgency) IsTooLate() bool { return u.Class >= 0 && u.Class%timelinessClasses == tooLate }
+
+// Promoted returns an urgency that comes before all others of the same priority.
+func (u Urgency) Promoted() Urgency {
+	return Urgency{Class: u.Class - u.Class%timelinessClasses + onTime, HasStarted: true, SlackMillis: math.MinInt64}
+}
+
 // timelinessNames are the names of the timeliness classes in metrics.
 var timelinessNames = [timelinessClasses]string{"onTime", "late", "tooLate"}
 
