Allocator: a request beyond what any worker offers isn't scored

With a backlog most of a placement round went into scores of workers for requests that none of them can run.

Place derives, once for each class of requests and call, the largest free capacity and the largest filler that the services of a worker bear, and skips the requests beyond. Both only shrink during a call. The property test that compares Place with a version that tries every request passes 50,000 checks.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -26,7 +26,7 @@
 	var allAwaited []*Worker
 	defer func() { setIsolated(allAwaited, false) }()
 	unplaceable := map[placementClass][]*Request{}
-	scores := &scoreTable{allocator: a, workers: workers, scores: make([]float64, len(workers)), headroom: map[string][]float64{}}
+	scores := &scoreTable{allocator: a, workers: workers, scores: make([]float64, len(workers)), headroom: map[string][]float64{}, bounds: map[placementClass]*placementBound{}}
 	for i := range requests {
 		r := &requests[i]
 		r.HeldCount, r.PlacedCount, r.WaitReason = 0, 0, BehindOthers
@@ -56,6 +56,10 @@
 		r.WaitReason = other.WaitReason
 		return nil, nil
 	}
+	if reason := scores.boundReason(r); reason != "" && !r.IsIsolated {
+		r.WaitReason = reason
+		return nil, nil
+	}
 	switch {
 	case r.IsIsolated:
 		r.WaitReason = AwaitsIsolation
