--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -25,41 +25,68 @@
 	var out []carobrock.TaskAssignment
 	var allAwaited []*Worker
 	defer func() { setIsolated(allAwaited, false) }()
-	unplaceable := map[placementClass]*Request{}
+	unplaceable := map[placementClass][]*Request{}
+	scores := &scoreTable{allocator: a, workers: workers, scores: make([]float64, len(workers)), headroom: map[string][]float64{}, bounds: map[placementClass]*placementBound{}}
 	for i := range requests {
+		r := &requests[i]
+		r.HeldCount, r.PlacedCount, r.WaitReason = 0, 0, BehindOthers
 		if len(out) >= limit {
-			break
-		}
-		requests[i].HeldCount = 0
-		if !requests[i].hasRoomFor(requests[i].minCount()) {
-			requests[i].HeldCount = len(requests[i].Indices)
-			continue
-		}
-		if isKnownUnplaceable(unplaceable, &requests[i]) {
-			continue
-		}
-		if requests[i].IsIsolated {
-			placed, awaited := a.placeIsolated(&requests[i], workers)
-			out = append(out, placed...)
-			setIsolated(awaited, true)
-			allAwaited = append(allAwaited, awaited...)
-			continue
-		}
-		if requests[i].Step.Gang {
-			out = append(out, a.placeGang(&requests[i], workers)...)
 			continue
 		}
-		placed := a.placeIndividually(&requests[i], workers, limit-len(out))
-		// Tasks that are held back by the limit of their account say nothing about the
-		// workers, which may have capacity for other accounts.
-		if requests[i].HeldCount == 0 && len(placed) < len(requests[i].Indices) && len(out)+len(placed) < limit && isUnconstrained(&requests[i]) {
-			unplaceable[classOf(&requests[i])] = &requests[i]
-		}
+		placed, awaited := a.placeRequest(r, scores, unplaceable, limit-len(out))
+		r.PlacedCount = len(placed)
 		out = append(out, placed...)
+		if r.Reserved != nil && !r.Reserved.IsIsolated && len(placed) == 0 {
+			awaited = append(awaited, r.Reserved)
+		}
+		setIsolated(awaited, true)
+		allAwaited = append(allAwaited, awaited...)
 	}
 	return out
 }
 
+// placeRequest returns assignments for the tasks of a request, at most limit, and the
+// workers that are to be kept free of the tasks of later requests.
+func (a *Allocator) placeRequest(r *Request, scores *scoreTable, unplaceable map[placementClass][]*Request, limit int) (placed []carobrock.TaskAssignment, awaited []*Worker) {
+	if !r.hasRoomFor(r.minCount()) {
+		r.HeldCount, r.WaitReason = len(r.Indices), AccountLimit
+		return nil, nil
+	}
+	if other := knownUnplaceable(unplaceable, r); other != nil {
+		r.WaitReason = other.WaitReason
+		return nil, nil
+	}
+	if reason := scores.boundReason(r); reason != "" && !r.IsIsolated {
+		r.WaitReason = reason
+		return nil, nil
+	}
+	switch {
+	case r.IsIsolated:
+		r.WaitReason = AwaitsIsolation
+		placed, awaited = a.placeIsolated(r, scores.workers)
+		scores.forgetHeadroom(r)
+		return placed, awaited
+	case r.Step.Gang:
+		r.WaitReason = GangDoesNotFit
+		placed = a.placeGang(r, scores.workers)
+		scores.forgetHeadroom(r)
+		return placed, nil
+	}
+	placed = a.placeIndividually(r, scores, limit)
+	switch {
+	// Tasks that are held back by the limit of their account say nothing about the
+	// workers, which may have capacity for other accounts.
+	case r.HeldCount > 0:
+		r.WaitReason = AccountLimit
+	case len(placed) < len(r.Indices) && len(placed) < limit:
+		r.WaitReason = unplacedReason(r, scores.workers)
+		if isUnconstrained(r) {
+			unplaceable[classOf(r)] = append(unplaceable[classOf(r)], r)
+		}
+	}
+	return placed, nil
+}
+
 // placementClass is what the eligibility of workers for a request depends on, apart
 // from its size and constraints. Only fillers depend on their image.
 type placementClass struct {
@@ -81,22 +108,27 @@
 	return r.Step.Label == "" && r.Step.MaxPerWorker == 0 && !r.NeedsTicket && len(r.Avoid) == 0
 }
 
-// isKnownUnplaceable reports whether an earlier request of this call found too few
-// workers and is no harder to place than r, so that r would not find one either.
-// unplaceable holds the last of these requests of each class.
-func isKnownUnplaceable(unplaceable map[placementClass]*Request, r *Request) bool {
-	other := unplaceable[classOf(r)]
-	return other != nil && r.MinPaceFraction >= other.MinPaceFraction && other.Step.Committed().Fits(r.Step.Committed())
+// knownUnplaceable returns an earlier request of this call that found too few workers
+// and is no harder to place than r, so that r would not find one either, or nil.
+// unplaceable holds these requests by class. What a filler adds to the load of services
+// depends on its full size, although no CPU is committed to it.
+func knownUnplaceable(unplaceable map[placementClass][]*Request, r *Request) *Request {
+	for _, other := range unplaceable[classOf(r)] {
+		if r.MinPaceFraction >= other.MinPaceFraction && other.Step.Size.Fits(r.Step.Size) {
+			return other
+		}
+	}
+	return nil
 }
 
 // placeIndividually assigns the tasks of a request one at a time, at most limit.
 // A worker's score changes only when it is assigned a task, so only that score is
 // computed again.
-func (a *Allocator) placeIndividually(r *Request, workers []*Worker, limit int) []carobrock.TaskAssignment {
+func (a *Allocator) placeIndividually(r *Request, t *scoreTable, limit int) []carobrock.TaskAssignment {
 	var out []carobrock.TaskAssignment
-	scores := make([]float64, len(workers))
-	for i, w := range workers {
-		scores[i] = a.scoreOrIneligible(r, w)
+	uses := t.headroomFor(r)
+	for i := range t.workers {
+		t.scores[i] = t.score(r, i, uses)
 	}
 	for i := range r.Indices {
 		if len(out) >= limit {
@@ -106,12 +138,15 @@
 			r.HeldCount = len(r.Indices) - i
 			break
 		}
-		top := indexOfMax(scores)
+		top := indexOfMax(t.scores)
 		if top < 0 {
 			break
 		}
-		out = append(out, a.assignTask(r, i, workers[top]))
-		scores[top] = a.scoreOrIneligible(r, workers[top])
+		out = append(out, a.assignTask(r, i, t.workers[top]))
+		if r.Step.Filler {
+			t.forgetWorker(top)
+		}
+		t.scores[top] = t.score(r, top, uses)
 	}
 	return out
 }
@@ -128,7 +163,12 @@
 	if !r.Step.Filler {
 		return scoreWorker(r, w)
 	}
-	use := pacer.HeadroomUse(a.Model, w.Services, describeFiller(r.Step, w))
+	return scoreFiller(r, w, pacer.HeadroomUse(a.Model, w.Services, describeFiller(r.Step, w)))
+}
+
+// scoreFiller returns the score of a worker for a filler that uses a fraction of the
+// headroom of its services, or ineligible.
+func scoreFiller(r *Request, w *Worker, use float64) float64 {
 	if use*r.MinPaceFraction > 1 {
 		return ineligible
 	}
@@ -339,7 +379,12 @@
 
 // describeFiller describes a filler task of a step on a worker to the model.
 func describeFiller(step *carobrock.Step, w *Worker) pacer.Filler {
-	return pacer.Filler{Image: step.Image, Share: float64(step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))}
+	return pacer.Filler{Image: step.Image, Share: cpuShare(step, w)}
+}
+
+// cpuShare returns the fraction of a worker's processors that a task requests.
+func cpuShare(step *carobrock.Step, w *Worker) float64 {
+	return float64(step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
 }
 
 // sameImageShare returns the fraction of the worker's service tasks that run
--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -98,7 +98,7 @@
 				})
 				assignments := 0
 				for b.Loop() {
-					assignments = d.PlanFullRound(time.Now())
+					assignments = d.PlanRound(true)
 				}
 				isDone.Store(true)
 				group.Wait()
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -115,6 +115,10 @@
 	// fillersWait is set if it left over fillers.
 	lastFullRound time.Time
 	fillersWait   bool
+	// aging bounds the waits of jobs that come after all others.
+	aging agingTable
+	// ranked is the memory for the requests of a round.
+	ranked []rankedRequest
 	// suspectsSince is when each waiting suspect was first found waiting.
 	suspectsSince map[carobrock.TaskRef]time.Time
 	// recentLosses holds the losses of the last outageTime.
@@ -122,6 +126,8 @@
 	// jobLoadEstimates holds the load estimates of each job's service tasks, by job
 	// ID.
 	jobLoadEstimates map[string]map[*loadEstimate]bool
+	// waits holds why jobs wait.
+	waits waitTable
 	// accounts holds what is derived for the client accounts.
 	accounts accountTable
 }
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -70,12 +70,15 @@
 // CompareRequestsWithoutAccounts compares the requests of a placement round with those
 // that are derived in the simplest way: all waiting steps in the order of their urgency,
 // whole and without rooms. The configuration must not list client accounts, and no task
-// may be a suspect. It returns the number of requests.
+// may be a suspect. Aged tasks are not promoted. It returns the number of requests.
 func (d *Dispatcher) CompareRequestsWithoutAccounts() (n int, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		now := time.Now()
+		aging := d.aging
+		defer func() { d.aging = aging }()
+		d.aging = agingTable{}
 		var want []rankedRequest
 		for _, j := range s.Open {
 			for k, o := range j.Occurrences {
@@ -113,11 +116,17 @@
 	d.StateMachine.View(func(*bookkeeper.State) { fn() })
 }
 
-// PlanFullRound plans a round that considers all waiting tasks. The assignments are
-// not committed.
-func (d *Dispatcher) PlanFullRound(now time.Time) (assignments int) {
+// PlanRound plans a placement round without committing its command, and returns the
+// number of assignments. The round considers all waiting tasks if isFull is set.
+func (d *Dispatcher) PlanRound(isFull bool) int {
+	now := time.Now()
 	d.mu.Lock()
-	d.lastFullRound = time.Time{}
+	if d.lastFullRound = now; isFull {
+		d.lastFullRound = time.Time{}
+	}
+	for _, w := range d.workers {
+		w.receivedAt, w.leaseExpiry = now, now.Add(time.Hour)
+	}
 	d.mu.Unlock()
 	c, _ := d.planRound(now)
 	if c == nil {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -120,9 +120,11 @@
 		d.releaseResponsesWithStops(s)
 		candidates := d.candidateWorkers(s, now)
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
+		d.resetAging()
 		requests := d.waitingRequests(s, round, isFull, ending, candidates, now)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
+			d.settleAging(s, requests, len(candidates), isFull, now)
 			d.markIsolated(requests, c)
 			d.recordMachines(s, c)
 			for i := range c.Assign {
@@ -135,6 +137,7 @@
 			d.forgetSilentWorkers(s, now)
 			d.fillersWait = hasUnplacedFillers(requests, c.Assign)
 			d.rhythm.adjust()
+			d.recordWaits(s, requests, c.Assign, now)
 			d.logLoad(s, now)
 			d.moveSlowedFillers(s, candidates, now)
 			d.evictShortages(s, now)
@@ -266,11 +269,12 @@
 // waitingRequests returns the waiting tasks that are due, most urgent first, except
 // those in ending. Unless includeAll is set, fillers are left out if some were left over in the last
 // round that considered all: there are many of them, the loads of services change
-// slowly, and new jobs must not overtake those that wait. Left out as well are tasks
+// slowly, and new jobs must not overtake those that wait. Jobs for which a worker is
+// kept free are not left out. Left out as well are tasks
 // that do not fit in what the limit of their client account leaves. round is nil if
 // there are no accounts.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, round *accountRound, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
-	var ranked []rankedRequest
+	ranked := d.ranked[:0]
 	endingJobs := map[string]bool{}
 	for task := range ending {
 		endingJobs[task.Job] = true
@@ -294,6 +298,9 @@
 				break
 			}
 			for i := range j.Spec.Steps {
+				if j.Spec.Steps[i].Filler && !includeAll && d.fillersWait && !d.aging.reservedJobs[j.Spec.ID] {
+					continue
+				}
 				if round != nil && !includeAll && !round.mayPlace(account, &j.Spec.Steps[i]) {
 					continue
 				}
@@ -301,9 +308,6 @@
 					if round != nil && !d.admitRequest(s, round, account, &r, now) {
 						continue
 					}
-					if r.Step.Filler && !includeAll && d.fillersWait {
-						continue
-					}
 					r.MinPaceFraction = minPaceFraction
 					if j.Queue.Policy != nil {
 						d.fillTickets(&r, j.Queue.Policy, candidates, now)
@@ -323,19 +327,38 @@
 	if includeAll {
 		d.suspectsSince = suspects.since
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedRequest) int {
-		return cmp.Or(compareIsolation(&a.Request, &b.Request), a.urgency.Compare(b.urgency))
-	})
+	ranked = d.promoteAged(s, ranked, includeAll, candidates, now)
+	d.ranked = ranked
+	order := sortedOrder(ranked)
 	if round != nil {
-		return d.shareRequests(s, round, ranked, candidates)
+		sorted := make([]rankedRequest, len(ranked))
+		for i, k := range order {
+			sorted[i] = ranked[k]
+		}
+		return d.shareRequests(s, round, sorted, candidates)
 	}
 	out := make([]allocator.Request, len(ranked))
-	for i := range ranked {
-		out[i] = ranked[i].Request
+	for i, k := range order {
+		out[i] = ranked[k].Request
 	}
 	return out
 }
 
+// sortedOrder returns the indices of the requests in the order of their urgency, those
+// of equal urgency in the given order. It moves indices instead of requests, which are
+// large.
+func sortedOrder(ranked []rankedRequest) []int {
+	order := make([]int, len(ranked))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(i, k int) int {
+		a, b := &ranked[i], &ranked[k]
+		return cmp.Or(compareIsolation(&a.Request, &b.Request), a.urgency.Compare(b.urgency), cmp.Compare(i, k))
+	})
+	return order
+}
+
 // rankedRequest is a request with its urgency.
 type rankedRequest struct {
 	allocator.Request
@@ -367,6 +390,23 @@
 // memory for long.
 const minPaceFraction = 1.0
 
+// sharedCount is the number of tasks up to which requests of steps without any runs
+// share their indices and attempts.
+const sharedCount = 256
+
+// sharedIndices and sharedAttempts are those of the tasks of a step without any runs.
+// They must not be changed.
+var sharedIndices, sharedAttempts = newTaskLists(sharedCount)
+
+// newTaskLists returns the indices and the next attempts of n tasks without any runs.
+func newTaskLists(n int) (indices []int, attempts []uint64) {
+	indices, attempts = make([]int, n), make([]uint64, n)
+	for i := range n {
+		indices[i], attempts[i] = i, 1
+	}
+	return indices, attempts
+}
+
 // newRequest returns a request for the waiting tasks of a step. It returns false
 // if there are none, or the steps that it depends on are not done, or runs of a
 // gang are still active. It leaves out the tasks in ending, as these may be done.
@@ -382,28 +422,34 @@
 	if step.MaxPerWorker > 0 {
 		r.RunsPerWorker = map[carobrock.WorkerIncarnation]int{}
 	}
-	for n := range step.Count {
-		attempt := uint64(1)
-		if o != nil {
-			t := &o.Steps[i].Tasks[n]
-			attempt = t.Attempt + 1
-			for _, run := range t.Runs {
-				if r.RunsPerWorker != nil {
-					r.RunsPerWorker[run.Incarnation]++
-				}
-			}
-			if t.Done || len(t.Runs) > 0 {
-				continue
+	if o == nil {
+		r.Indices, r.Attempts = sharedIndices, sharedAttempts
+		if step.Count > sharedCount {
+			r.Indices, r.Attempts = newTaskLists(step.Count)
+		}
+		r.Indices, r.Attempts = r.Indices[:step.Count:step.Count], r.Attempts[:step.Count:step.Count]
+		return r, len(r.Indices) > 0
+	}
+	waiting := o.Steps[i].WaitingCount()
+	r.Indices, r.Attempts = make([]int, 0, waiting), make([]uint64, 0, waiting)
+	for n := range o.Steps[i].Tasks {
+		t := &o.Steps[i].Tasks[n]
+		for _, run := range t.Runs {
+			if r.RunsPerWorker != nil {
+				r.RunsPerWorker[run.Incarnation]++
 			}
-			if ending[carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}] {
-				if step.Gang {
-					return allocator.Request{}, false
-				}
-				continue
+		}
+		if t.Done || len(t.Runs) > 0 {
+			continue
+		}
+		if ending[carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}] {
+			if step.Gang {
+				return allocator.Request{}, false
 			}
+			continue
 		}
 		r.Indices = append(r.Indices, n)
-		r.Attempts = append(r.Attempts, attempt)
+		r.Attempts = append(r.Attempts, t.Attempt+1)
 	}
 	return r, len(r.Indices) > 0
 }
