Messenger: the kernel takes little of what a link has not carried

New frames waited behind what the kernel had taken of large ones: it takes up to 3.9 MB of a connection, 16 s on a link of 2 Mbit/s, more than a ping may wait.

Connections have TCP_NOTSENT_LOWAT of 16 KiB: the kernel takes more only when less than that is unsent. What is sent and not acknowledged stays up to TCP.

--- a/internal/messenger/link_test.go
+++ b/internal/messenger/link_test.go
@@ -214,3 +214,35 @@
 		t.Errorf("no heartbeat for %v, want at most %v; %d snapshots, want one or two", longest, electionTimeout, snapshots)
 	}
 }
+
+// Guards against small frames that wait behind what the kernel has taken of large ones
+// and the link has not carried.
+func TestKernelTakesLittle(t *testing.T) {
+	const maxBytes = 512 << 10 // two windows of a stream
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	client := &Messenger{Logger: zerolog.Nop(), PingTimeout: 200 * time.Millisecond}
+	client.Prepare()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	session, err := client.dial(ctx, silent.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := conc.NewWaitGroup()
+	for range 64 { // streams with a window of 256 KB each
+		group.Go(func() {
+			if stream, err := session.OpenStream(); err == nil {
+				_, _ = stream.Write(make([]byte, 256<<10)) // the session is closed
+			}
+		})
+	}
+	group.Wait()
+	_ = session.Close()
+	if n := client.Traffic.Sent.Load(); n > maxBytes {
+		t.Errorf("the kernel took %d bytes that the other process did not read, want at most %d", n, maxBytes)
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -157,6 +157,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		limitUnsent(conn)
 		incoming := ms.intake.add(conn)
 		if incoming == nil {
 			_ = conn.Close() // nothing was sent on it
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrNotSent, "cannot connect to %s: %v", address, err)
 	}
+	limitUnsent(conn)
 	session, err := newDialledSession(ms.Traffic.countConn(conn), ms.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
