Locator: a leader that freezes during a call does not take the whole next one

A leader that had been heard of shortly before a call ended was kept, and the next call waited for it until its own end, 0.9 s later, although the leader was silent for longer than the limit meanwhile. Before the limit the leader was refused for 0.5 s and then taken again for the rest of the second call, if it was still named.

After an attempt at whose end a replica was silent for 0.35 s, longer than the interval of pings, the next attempt has 0.5 s, so that the call has time left for another replica.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -46,6 +46,10 @@
 	// replicas are asked for the leader. Processes that are alive send something every
 	// 0.25 s.
 	silenceTime = 500 * time.Millisecond
+	// suspectTime is how long a replica must have sent nothing at the end of a call
+	// without a response before later attempts have only silenceTime: a call then has
+	// time left for another replica.
+	suspectTime = 350 * time.Millisecond
 	// deadlineTolerance is how much earlier than the deadline of an attempt the other
 	// process may end it: it gets the time in whole milliseconds.
 	deadlineTolerance = 2 * time.Millisecond
@@ -66,6 +70,7 @@
 	leader         string
 	leaderNamed    time.Time
 	leaderAnswered time.Time            // last call that the leader completed, zero if there was none since leaderNamed
+	suspect        string               // address of a replica that was silent for suspectTime and has answered no call since, or empty
 	avoided        map[string]avoidance // by address
 	avoidLog       logger.LineLimiter
 	counts         Counts
@@ -215,6 +220,31 @@
 	if l.leader == address {
 		l.leaderAnswered = time.Now()
 	}
+	if l.suspect == address {
+		l.suspect = ""
+	}
+}
+
+// timeoutFor returns the timeout of an attempt on a replica.
+func (l *Locator) timeoutFor(address string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.suspect == address {
+		return silenceTime
+	}
+	return attemptTimeout
+}
+
+// checkSilence records the replica as suspect if the error of an attempt on it shows that
+// it has been silent for suspectTime.
+func (l *Locator) checkSilence(address string, err error) {
+	var noResponse *messenger.NoResponseError
+	if !errors.As(err, &noResponse) || noResponse.Silence < suspectTime {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.suspect = address
 }
 
 // isSilent reports whether an attempt with context ctx and the given duration, which
@@ -313,7 +343,7 @@
 		}
 		attempts++
 		began := time.Now()
-		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		attemptCtx, cancel := context.WithTimeout(ctx, l.timeoutFor(address))
 		response, err := l.RPCClient.Call(attemptCtx, address, method, body)
 		if err == nil {
 			cancel()
@@ -352,6 +382,7 @@
 	if !errors.As(err, &remote) {
 		*outcomeUnknown = *outcomeUnknown || !errors.Is(err, messenger.ErrNotSent)
 		l.countUnanswered()
+		l.checkSilence(address, err)
 		if silent := isSilent(ctx, err, took); silent || took >= silenceTime {
 			l.leave(address, method, err, took, silent)
 		}
@@ -367,6 +398,7 @@
 		}
 	case CodeNotLeader:
 		l.forgetLeader(address)
+		l.recordAnswer(address) // it is not suspect
 		if l.hasLeaderAnsweredSince(time.Now().Add(-took)) {
 			return true // the response may be older than what is known
 		}
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -302,3 +302,38 @@
 		}
 	})
 }
+
+// Guards against a leader that freezes during a call and is kept for the whole next one,
+// since it had been heard of shortly before the first one ended.
+func TestCallsLeaveALeaderThatFreezesDuringOne(t *testing.T) {
+	const (
+		callTime     = 900 * time.Millisecond
+		freezesAt    = 500 * time.Millisecond // 0.4 s before the end of the first call
+		electionTime = freezesAt + time.Second
+		calls        = 2
+	)
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		leader := func(ctx context.Context) ([]byte, error) {
+			<-ctx.Done()
+			return nil, &messenger.NoResponseError{IsConnected: true, Silence: max(0, time.Since(began)-freezesAt)}
+		}
+		follower := func(ctx context.Context) ([]byte, error) {
+			if time.Since(began) < electionTime {
+				return redirectTo("a")(ctx)
+			}
+			return redirectTo("c")(ctx)
+		}
+		l := &locator.Locator{RPCClient: fakeReplicas{"a": leader, "b": follower, "c": answerOK}, Logger: zerolog.Nop()}
+		l.SetSeeds([]string{"a", "b"})
+		var err error
+		for range calls {
+			ctx, cancel := context.WithTimeout(context.Background(), callTime)
+			_, err = l.Call(ctx, "m", nil)
+			cancel()
+		}
+		if err != nil {
+			t.Errorf("call %d, until %v after the start: %v", calls, time.Since(began), err)
+		}
+	})
+}
