Dispatcher: fillers need no share where others of their kind leave room

Under a long backlog accepted jobs of fillers did not start although most of the workers' room was free, until 14 s after the traffic had ended: the reason of all overdue jobs was interference. They waited for their share of the placed tasks, one in 32 and a few a second, while the others of their kind could not use the room at all.

While tasks of a kind are held back by interference, its oldest jobs of which nothing runs are tried in each round that considers all tasks, as if nothing of the kind was placed. The limits on workers whose services they may slow hold as before.

TestFillersStartWhereOthersAreHeldBackByInterference failed before: 11 of 40 fillers had not started after 30 s.

--- a/internal/dispatcher/aging.go
+++ b/internal/dispatcher/aging.go
@@ -89,7 +89,8 @@
 // can run starts after a time that depends on the jobs before it and on the rate of
 // placements, but neither on younger jobs nor on its value. If the oldest find no room for
 // reserveAfter, reservedShare of the workers are kept free for them until they fit. A
-// class of which nothing is placed for standstillTime needs no such share.
+// class of which nothing is placed for standstillTime, or of which tasks are held back by
+// interference, needs no such share.
 type agingTable struct {
 	// term is the term in which the states were derived.
 	term   uint64
@@ -313,7 +314,7 @@
 // settleAging updates the states of the aging classes after a round with the given
 // requests and number of workers. isFull is set if the round considered all waiting tasks. d.mu must be held.
 func (d *Dispatcher) settleAging(s *bookkeeper.State, requests []allocator.Request, workers int, isFull bool, now time.Time) {
-	isWaiting := map[*agingState]bool{}
+	isWaiting, isBlocked := map[*agingState]bool{}, map[*agingState]bool{}
 	for i := range requests {
 		r := &requests[i]
 		if r.Step.Service {
@@ -330,6 +331,7 @@
 			x.placedAt = now
 		}
 		isWaiting[x] = isWaiting[x] || r.PlacedCount < len(r.Indices)
+		isBlocked[x] = isBlocked[x] || r.PlacedCount < len(r.Indices) && r.WaitReason == allocator.Interference
 	}
 	if !isFull {
 		return
@@ -338,7 +340,8 @@
 		switch {
 		case !isWaiting[x]:
 			x.placedAt = now
-		case now.Sub(x.placedAt) >= standstillTime:
+		case isBlocked[x], now.Sub(x.placedAt) >= standstillTime:
+			// The others leave room that they cannot use.
 			x.credit = maxAgedCredit
 		default:
 			x.credit = min(maxAgedCredit, x.credit+now.Sub(x.creditedAt).Seconds()*agedPerWorker*float64(workers))
--- a/internal/dispatcher/aging_test.go
+++ b/internal/dispatcher/aging_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +140,63 @@
 		}
 	})
 }
+
+// Guards against fillers that wait for a share of the placed tasks although the others of
+// their kind cannot use the room: no worker with services can run them at full speed, and
+// the only other worker has memory for small ones alone.
+func TestFillersStartWhereOthersAreHeldBackByInterference(t *testing.T) {
+	const (
+		workers   = 40
+		startTime = placementSlack
+	)
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		group := conc.NewWaitGroup()
+		defer group.Wait()
+		defer cancel()
+		for i := range workers {
+			v := h.newColocatedWorker(fmt.Sprint("a", i), 16, 0.3)
+			service := serviceStep()
+			service.MaxPerWorker, service.Size.MilliCPU = 1, 9000
+			h.submitJob(fmt.Sprint("s", i), service)
+			group.Go(func() {
+				for ctx.Err() == nil {
+					v.sendHeartbeatsFor(time.Second)
+					for _, x := range slices.Clone(v.report.Running) {
+						if !isService(x.Run) {
+							v.endRun(x.Run, carobrock.EndSucceeded)
+						}
+					}
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		small := h.newWorker("b", 16)
+		small.report.Capacity.MemoryMB = 1000
+		group.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				step := fillerStep(1)
+				step.Image, step.EstimateMillis = "light", 100
+				h.submitJob(fmt.Sprint("g", i), step)
+				small.sendHeartbeatsFor(200 * time.Millisecond)
+				for len(small.report.Running) > 0 {
+					small.endRun(small.report.Running[0].Run, carobrock.EndSucceeded)
+				}
+			}
+		})
+		time.Sleep(time.Second)
+		for i := range workers {
+			step := fillerStep(1)
+			step.Size, step.EstimateMillis = carobrock.Capacity{MilliCPU: 5000, MemoryMB: 30_000}, 1000
+			h.submitJob(fmt.Sprint("f", i), step)
+		}
+		time.Sleep(startTime)
+		for i := range workers {
+			if id := fmt.Sprint("f", i); h.jobState(id) == carobrock.JobPending {
+				t.Errorf("%s has not started after %v", id, startTime)
+			}
+		}
+	})
+}
