Dispatcher: reads check leadership before they read the state

A replica that lagged behind, and became the leader between its read of a job's state and the check of its leadership, answered that the job was unknown, or that its queue did not exist, from the state before.

JobState, PendingJobs and the check of a job's queue now check leadership before the read as well. Whether a job is stored and whether its queue exists are looked up together, so that a job that is stored in between is not refused.

--- a/internal/bookkeeper/summary.go
+++ b/internal/bookkeeper/summary.go
@@ -100,3 +100,12 @@
 	defer m.summaries.mu.RUnlock()
 	return m.summaries.queues[key] != nil
 }
+
+// MayStore reports whether a job may be stored: it is stored already, or the
+// configuration in force has its queue.
+func (m *StateMachine) MayStore(id, queue string) bool {
+	m.summaries.mu.RLock()
+	defer m.summaries.mu.RUnlock()
+	_, isStored := m.summaries.jobs[id]
+	return isStored || m.summaries.queues[queue] != nil
+}
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -34,10 +34,11 @@
 	if err := spec.Check(); err != nil {
 		return false, err
 	}
-	if _, isStored := d.StateMachine.JobSummary(spec.ID); !isStored {
-		if err := d.checkQueue(spec.Queue); err != nil {
-			return false, err
-		}
+	if err := d.checkLeader(); err != nil {
+		return false, err
+	}
+	if !d.StateMachine.MayStore(spec.ID, spec.Queue) {
+		return false, d.refuseQueue(spec.Queue)
 	}
 	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Submit = append(c.Submit, *spec)
@@ -74,32 +75,40 @@
 }
 
 // JobState implements carobrock.JobControl. It waits neither for a placement round nor
-// for a snapshot. Like readState it checks leadership after the read.
+// for a snapshot. It checks leadership before the read, as a new leader holds everything
+// committed before its term, and after it like readState.
 func (d *Dispatcher) JobState(_ context.Context, q carobrock.JobQuery) (state carobrock.JobState, err error) {
+	if err := d.checkLeader(); err != nil {
+		return "", err
+	}
 	if j, ok := d.StateMachine.JobSummary(q.ID); ok && j.Queue == q.Queue && j.IsAccessibleTo(q.Account) {
 		state = j.State
 	}
 	return state, d.checkLeader()
 }
 
-// PendingJobs implements carobrock.JobControl. It waits no longer than JobState.
+// PendingJobs implements carobrock.JobControl. It waits no longer than JobState and
+// checks leadership in the same way.
 func (d *Dispatcher) PendingJobs(_ context.Context, queue string) (int, error) {
+	if err := d.checkLeader(); err != nil {
+		return 0, err
+	}
 	n := d.StateMachine.PendingJobs(queue)
-	return n, d.checkQueue(queue)
+	if !d.StateMachine.HasQueue(queue) {
+		return 0, d.refuseQueue(queue)
+	}
+	return n, d.checkLeader()
 }
 
-// checkQueue fails with carobrock.ErrNotFound if the configuration in force has no queue
-// with the given key, and with a *locator.NotLeaderError if this replica is not the
-// leader. The copy of the configuration at a gateway may be older and have it still.
-func (d *Dispatcher) checkQueue(key string) error {
-	exists := d.StateMachine.HasQueue(key)
+// refuseQueue returns the error for a queue that the configuration in force does not
+// have: one that wraps carobrock.ErrNotFound, or a *locator.NotLeaderError if this
+// replica is no longer the leader. The copy of the configuration at a gateway may be
+// older and have the queue still.
+func (d *Dispatcher) refuseQueue(key string) error {
 	if err := d.checkLeader(); err != nil {
 		return err
 	}
-	if !exists {
-		return eris.Wrapf(carobrock.ErrNotFound, "there is no queue %q", key)
-	}
-	return nil
+	return eris.Wrapf(carobrock.ErrNotFound, "there is no queue %q", key)
 }
 
 // Configure implements carobrock.JobControl.
--- a/internal/dispatcher/read_test.go
+++ b/internal/dispatcher/read_test.go
@@ -8,9 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/dispatcher"
 	"github.com/carobrock/carobrock/internal/locator"
 )
 
@@ -90,3 +93,35 @@
 		}
 	}
 }
+
+// electedLog is a log whose replica catches up and becomes the leader just before its
+// leadership is read, as it can while the reader is descheduled.
+type electedLog struct {
+	*fakeLog
+	catchUp func()
+}
+
+func (g *electedLog) Term() (uint64, bool) {
+	if fn := g.catchUp; fn != nil {
+		g.catchUp = nil
+		fn()
+	}
+	return g.fakeLog.Term()
+}
+
+// Guards against a replica that answers from the state that it had before it became the
+// leader: a job that was accepted before the call is reported as unknown, and a job for
+// an existing queue is refused with 404.
+func TestReadIsNotOlderThanLeadership(t *testing.T) {
+	m := &bookkeeper.StateMachine{}
+	m.Prepare()
+	g := &electedLog{fakeLog: &fakeLog{stateMachine: m, term: 2, isLeader: true}}
+	h := &harness{t: t, log: g.fakeLog, stateMachine: m}
+	h.d = &dispatcher.Dispatcher{StateMachine: m, Leadership: g, Settings: dispatcher.Settings{Lease: testLease}, Logger: zerolog.Nop()}
+	h.d.Prepare()
+	g.catchUp = func() { h.applySubmission(0) }
+	state, err := h.d.JobState(context.Background(), carobrock.JobQuery{JobKey: carobrock.JobKey{ID: jobID(0), Queue: queueKey}})
+	if err == nil && state == "" {
+		t.Error("an accepted job is reported as unknown")
+	}
+}
