Watcher: a large view reaches a gateway on a slow link

A gateway of the product's own path that had no confirmed view gave each call 0.52 s, in which a link of 2 Mbit/s carries 130 KB, and began from the start at the next replica: with 1,500 routes it never got its tables.

The time of a call doubles after one that timed out, up to 8 s, and returns to the former value after a call that ended within its time.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -55,19 +55,23 @@
 
 	view         *viewState
 	replicaIndex int
-	current      atomic.Pointer[Catalog]
-	confirmedAt  atomic.Pointer[time.Time]
-	leaseEnd     atomic.Pointer[time.Time]
-	draining     atomic.Bool
+	// callTimeoutMargin is the timeout of the next call beyond the wait time that it
+	// requests.
+	callTimeoutMargin time.Duration
+	current           atomic.Pointer[Catalog]
+	confirmedAt       atomic.Pointer[time.Time]
+	leaseEnd          atomic.Pointer[time.Time]
+	draining          atomic.Bool
 }
 
 // Default settings and timeouts.
 const (
 	DefaultStaleAfter = 5 * time.Second
 	defaultSyncWait   = time.Second
-	// callTimeoutMargin is the timeout of a call beyond the wait time that it
-	// requests.
-	callTimeoutMargin = 500 * time.Millisecond
+	// Limits of Watcher.callTimeoutMargin. It doubles after a call that timed out, as a
+	// large view takes long on a slow link, and is the lower limit after a response.
+	minCallTimeoutMargin = 500 * time.Millisecond
+	maxCallTimeoutMargin = 8 * time.Second
 	// shortWaitMillis is the wait time requested, in milliseconds, while the
 	// last confirmation is old, while the gateway drains, and while it uses
 	// more slots than it is granted.
@@ -86,6 +90,7 @@
 		w.SyncWait = defaultSyncWait
 	}
 	w.view = newViewState()
+	w.callTimeoutMargin = minCallTimeoutMargin
 }
 
 // Current returns the catalog in force, or nil if there is none yet.
@@ -141,10 +146,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMillis())*time.Millisecond+callTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMillis())*time.Millisecond+w.callTimeoutMargin)
 	defer cancel()
 	sent := time.Now()
 	data, err := w.RPCClient.Call(ctx, w.Replicas[w.replicaIndex], MethodSync, body)
+	if ctx.Err() != nil {
+		w.callTimeoutMargin = min(2*w.callTimeoutMargin, maxCallTimeoutMargin)
+	} else {
+		w.callTimeoutMargin = minCallTimeoutMargin
+	}
 	if err != nil {
 		return err
 	}
