--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -20,8 +20,8 @@
 	// largeQueueCapacity that of the queue of those above smallMessageBytes.
 	sendQueueCapacity  = 512
 	largeQueueCapacity = 64
-	// maxQueuedTime is the time after which a queued message is discarded. Replicas repeat
-	// a snapshot that is not acknowledged within some seconds.
+	// maxQueuedTime is the time after which a queued message without a snapshot is
+	// discarded. Replicas repeat what is not acknowledged within some seconds.
 	maxQueuedTime = 10 * time.Second
 	// dialTimeout is the timeout of one connection attempt.
 	dialTimeout = 2 * time.Second
@@ -51,6 +51,40 @@
 type sendQueue struct {
 	messages      chan queuedMessage
 	senderStarted bool
+
+	mu sync.Mutex
+	// snapshots holds the snapshots of the queued messages, each once. A leader repeats
+	// one while it is being sent.
+	snapshots map[*encoder.Snapshot]bool
+}
+
+// add queues a message, unless the queue is full or holds its snapshot.
+func (q *sendQueue) add(m *encoder.Message) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := m.GetSnapshot()
+	if s != nil && q.snapshots[s] {
+		return
+	}
+	select {
+	case q.messages <- queuedMessage{Message: m, since: time.Now()}:
+		if s != nil {
+			q.snapshots[s] = true
+		}
+	default:
+	}
+}
+
+// take records that a message has left the queue, and reports whether it is to be sent.
+func (q *sendQueue) take(m queuedMessage) bool {
+	s := m.GetSnapshot()
+	if s == nil {
+		return time.Since(m.since) <= maxQueuedTime
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.snapshots, s)
+	return true
 }
 
 type queuedMessage struct {
@@ -59,7 +93,7 @@
 }
 
 func newSendQueue(capacity int) *sendQueue {
-	return &sendQueue{messages: make(chan queuedMessage, capacity)}
+	return &sendQueue{messages: make(chan queuedMessage, capacity), snapshots: map[*encoder.Snapshot]bool{}}
 }
 
 func (p *peer) close() {
@@ -231,10 +265,7 @@
 	ms.mu.Lock()
 	ms.startSender(p, q)
 	ms.mu.Unlock()
-	select {
-	case q.messages <- queuedMessage{Message: m, since: time.Now()}:
-	default:
-	}
+	q.add(m)
 }
 
 // startSender starts the goroutine that sends the messages of a queue to p, unless it is
@@ -249,7 +280,7 @@
 }
 
 // runSender sends the messages of a queue to p until ctx ends. Messages that cannot
-// be sent, or have waited for maxQueuedTime, are discarded.
+// be sent, or have waited too long, are discarded.
 func (ms *Messenger) runSender(ctx context.Context, p *peer, q *sendQueue) {
 	var stream *oneWayStream
 	var err error
@@ -258,7 +289,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-q.messages:
-			if time.Since(m.since) > maxQueuedTime {
+			if !q.take(m) {
 				continue
 			}
 			if stream == nil || stream.isEnded() {
