--- /dev/null
+++ b/internal/dispatcher/waiting.go
@@ -0,0 +1,200 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/allocator"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/ranker"
+)
+
+// waitingRequests returns the waiting tasks that are due, most urgent first, except
+// those in ending. Unless includeAll is set, fillers are left out if some were left over in the last
+// round that considered all: there are many of them, the loads of services change
+// slowly, and new jobs must not overtake those that wait. Jobs for which a worker is
+// kept free are not left out. Left out as well are tasks
+// that do not fit in what the limit of their client account leaves. round is nil if
+// there are no accounts.
+func (d *Dispatcher) waitingRequests(s *bookkeeper.State, round *accountRound, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
+	ranked := d.ranked[:0]
+	endingJobs := map[string]bool{}
+	for task := range ending {
+		endingJobs[task.Job] = true
+	}
+	suspects := d.newSuspectQueue(s, now)
+	nowMillis := d.Now().UnixMilli()
+	for _, j := range s.Open {
+		if j.Queue.Pool == "" {
+			continue
+		}
+		endingTasks := ending
+		if !endingJobs[j.Spec.ID] {
+			endingTasks = nil
+		}
+		account := 0
+		if round != nil {
+			account = d.accountIndex(s, j.Spec.Account)
+		}
+		for k, o := range j.Occurrences {
+			if j.Spec.DueUnixMillis(k) > nowMillis {
+				break
+			}
+			for i := range j.Spec.Steps {
+				if j.Spec.Steps[i].Filler && !includeAll && d.fillersWait && !d.aging.reservedJobs[j.Spec.ID] {
+					continue
+				}
+				if round != nil && !includeAll && !round.mayPlace(account, &j.Spec.Steps[i]) {
+					continue
+				}
+				if r, ok := newRequest(j, o, k, i, endingTasks); ok {
+					if round != nil && !d.admitRequest(s, round, account, &r, now) {
+						continue
+					}
+					r.MinPaceFraction = minPaceFraction
+					if j.Queue.Policy != nil {
+						d.fillTickets(&r, j.Queue.Policy, candidates, now)
+					}
+					urgency := ranker.UrgencyOf(j, o, k, i, nowMillis)
+					if len(s.Suspects) == 0 {
+						ranked = append(ranked, rankedRequest{r, urgency, j})
+						continue
+					}
+					for _, part := range suspects.splitRequest(&r) {
+						ranked = append(ranked, rankedRequest{part, urgency, j})
+					}
+				}
+			}
+		}
+	}
+	if includeAll {
+		d.suspectsSince = suspects.since
+	}
+	ranked = d.promoteAged(s, ranked, includeAll, candidates, now)
+	d.ranked = ranked
+	order := sortedOrder(ranked)
+	if round != nil {
+		sorted := make([]rankedRequest, len(ranked))
+		for i, k := range order {
+			sorted[i] = ranked[k]
+		}
+		return d.shareRequests(s, round, sorted, candidates)
+	}
+	out := make([]allocator.Request, len(ranked))
+	for i, k := range order {
+		out[i] = ranked[k].Request
+	}
+	return out
+}
+
+// sortedOrder returns the indices of the requests in the order of their urgency, those
+// of equal urgency in the given order. It moves indices instead of requests, which are
+// large.
+func sortedOrder(ranked []rankedRequest) []int {
+	order := make([]int, len(ranked))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(i, k int) int {
+		a, b := &ranked[i], &ranked[k]
+		return cmp.Or(compareIsolation(&a.Request, &b.Request), a.urgency.Compare(b.urgency), cmp.Compare(i, k))
+	})
+	return order
+}
+
+// rankedRequest is a request with its urgency.
+type rankedRequest struct {
+	allocator.Request
+	urgency ranker.Urgency
+	job     *bookkeeper.Job
+}
+
+// hasUnplacedFillers reports whether some fillers of the requests are not among the
+// assignments, except those that wait because of the limit of their account.
+func hasUnplacedFillers(requests []allocator.Request, assigned []carobrock.TaskAssignment) bool {
+	placed := map[string]int{}
+	for i := range assigned {
+		placed[assigned[i].Task.Job]++
+	}
+	for i := range requests {
+		r := &requests[i]
+		if !r.Step.Filler || r.IsSuspect {
+			continue
+		}
+		if placed[r.Job] -= len(r.Indices) - r.HeldCount; placed[r.Job] < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// minPaceFraction is the fraction of its full speed at which a filler must be
+// able to run on the worker where it is placed, as a slower one would occupy
+// memory for long.
+const minPaceFraction = 1.0
+
+// sharedCount is the number of tasks up to which requests of steps without any runs
+// share their indices and attempts.
+const sharedCount = 256
+
+// sharedIndices and sharedAttempts are those of the tasks of a step without any runs.
+// They must not be changed.
+var sharedIndices, sharedAttempts = newTaskLists(sharedCount)
+
+// newTaskLists returns the indices and the next attempts of n tasks without any runs.
+func newTaskLists(n int) (indices []int, attempts []uint64) {
+	indices, attempts = make([]int, n), make([]uint64, n)
+	for i := range n {
+		indices[i], attempts[i] = i, 1
+	}
+	return indices, attempts
+}
+
+// newRequest returns a request for the waiting tasks of a step. It returns false
+// if there are none, or the steps that it depends on are not done, or runs of a
+// gang are still active. It leaves out the tasks in ending, as these may be done.
+func newRequest(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int, ending map[carobrock.TaskRef]bool) (allocator.Request, bool) {
+	step := &j.Spec.Steps[i]
+	if o != nil && o.Steps[i].WaitingCount() == 0 || !j.IsReady(o, i) {
+		return allocator.Request{}, false
+	}
+	if step.Gang && o != nil && o.Steps[i].ActiveCount > 0 {
+		return allocator.Request{}, false
+	}
+	r := allocator.Request{Job: j.Spec.ID, Occurrence: k, StepNumber: i, Step: step, Pool: j.Queue.Pool}
+	if step.MaxPerWorker > 0 {
+		r.RunsPerWorker = map[carobrock.WorkerIncarnation]int{}
+	}
+	if o == nil {
+		r.Indices, r.Attempts = sharedIndices, sharedAttempts
+		if step.Count > sharedCount {
+			r.Indices, r.Attempts = newTaskLists(step.Count)
+		}
+		r.Indices, r.Attempts = r.Indices[:step.Count:step.Count], r.Attempts[:step.Count:step.Count]
+		return r, len(r.Indices) > 0
+	}
+	waiting := o.Steps[i].WaitingCount()
+	r.Indices, r.Attempts = make([]int, 0, waiting), make([]uint64, 0, waiting)
+	for n := range o.Steps[i].Tasks {
+		t := &o.Steps[i].Tasks[n]
+		for _, run := range t.Runs {
+			if r.RunsPerWorker != nil {
+				r.RunsPerWorker[run.Incarnation]++
+			}
+		}
+		if t.Done || len(t.Runs) > 0 {
+			continue
+		}
+		if ending[carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}] {
+			if step.Gang {
+				return allocator.Request{}, false
+			}
+			continue
+		}
+		r.Indices = append(r.Indices, n)
+		r.Attempts = append(r.Attempts, t.Attempt+1)
+	}
+	return r, len(r.Indices) > 0
+}
