Dispatcher: only overdue fillers need no share

The exception now holds for overdue jobs only, as in the section waits: five times their objective and 10 s.

--- a/internal/dispatcher/aging.go
+++ b/internal/dispatcher/aging.go
@@ -9,6 +9,7 @@
 	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/pacer"
+	"github.com/carobrock/carobrock/internal/ranker"
 )
 
 const (
@@ -89,8 +90,8 @@
 // can run starts after a time that depends on the jobs before it and on the rate of
 // placements, but neither on younger jobs nor on its value. If the oldest find no room for
 // reserveAfter, reservedShare of the workers are kept free for them until they fit. A
-// class of which nothing is placed for standstillTime, or of which tasks are held back by
-// interference, needs no such share.
+// class of which nothing is placed for standstillTime, or of which tasks of overdue jobs are
+// held back by interference, needs no such share.
 type agingTable struct {
 	// term is the term in which the states were derived.
 	term   uint64
@@ -311,6 +312,16 @@
 	return !r.Step.Filler || pacer.HeadroomUse(&d.model, services, pacer.Filler{Image: r.Step.Image, Share: share})*r.MinPaceFraction <= 1
 }
 
+// isOverdue reports whether occurrence k of a job has waited or run long past its
+// objective.
+func (d *Dispatcher) isOverdue(j *bookkeeper.Job, k int) bool {
+	x := WaitingJob{
+		AgeSeconds:       float64(d.Now().UnixMilli()-ranker.DueMillis(j, k)) / 1000,
+		ObjectiveSeconds: float64(ranker.ObjectiveMillis(j)) / 1000,
+	}
+	return x.isOverdue()
+}
+
 // settleAging updates the states of the aging classes after a round with the given
 // requests and number of workers. isFull is set if the round considered all waiting tasks. d.mu must be held.
 func (d *Dispatcher) settleAging(s *bookkeeper.State, requests []allocator.Request, workers int, isFull bool, now time.Time) {
@@ -331,7 +342,7 @@
 			x.placedAt = now
 		}
 		isWaiting[x] = isWaiting[x] || r.PlacedCount < len(r.Indices)
-		isBlocked[x] = isBlocked[x] || r.PlacedCount < len(r.Indices) && r.WaitReason == allocator.Interference
+		isBlocked[x] = isBlocked[x] || r.PlacedCount < len(r.Indices) && r.WaitReason == allocator.Interference && d.isOverdue(s.Jobs[r.Job], r.Occurrence)
 	}
 	if !isFull {
 		return
