--- a/review/_standin2/deploy.go
+++ b/review/_standin2/deploy.go
@@ -67,9 +67,12 @@
 // deployment is the platform's part: it starts the processes, starts them again when
 // they end and kills those that use more memory than their machine has.
 type deployment struct {
-	dir     string
-	record  *record
-	nodes   []*node
+	dir    string
+	record *record
+	nodes  []*node
+
+	mu      sync.Mutex
+	workers []*worker
 	front   int
 	ready   int
 	control int
@@ -129,7 +132,11 @@
 	return nil
 }
 
-func machineIP(i int) string { return fmt.Sprintf("127.77.1.%d", i+1) }
+// machineIP returns an address of its own for each machine and play.
+func machineIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%250+1, i+1)
+}
 
 // freePorts returns n ports that are free on all machines, the last two adjacent.
 func freePorts(n int) ([]int, error) {
@@ -256,8 +263,13 @@
 	_ = nd.command.Process.Signal(s)
 }
 
-// close ends all processes and removes the temporary folder.
+// close ends all workers and processes and removes the temporary folder.
 func (d *deployment) close() {
+	d.mu.Lock()
+	for _, w := range d.workers {
+		w.crash()
+	}
+	d.mu.Unlock()
 	close(d.stop)
 	for _, nd := range d.nodes {
 		nd.mu.Lock()
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit codes.
@@ -18,6 +19,9 @@
 	exitNotRun = 2
 )
 
+// playTime is the time after which a play ends in any case.
+const playTime = 117 * time.Second
+
 // play plays a case. hasTrouble is false for the run without the disruption. It returns
 // whether the rule held.
 type play func(rec *record, hasTrouble bool) (held bool, err error)
@@ -26,6 +30,8 @@
 	"wide":    playWide,
 	"pending": playPending,
 	"crowd":   playCrowd,
+	"deadly":  playDeadly,
+	"foreign": playForeign,
 	"fields":  playFields,
 }
 
@@ -39,6 +45,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
+	// The kernel ends the processes of the system with this one.
+	time.AfterFunc(playTime, func() {
+		rec.add("not run: it takes longer than %v", playTime)
+		os.Exit(exitNotRun)
+	})
 	hasTrouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, trouble: %v", os.Args[1], hasTrouble)
 	held, err := plays[os.Args[1]](rec, hasTrouble)
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,12 +16,16 @@
 type worker struct {
 	deployment *deployment
 	record     *record
-	id         string
-	machine    string
-	zone       string
-	rack       string
-	milliCPU   int64
-	memMB      int64
+	// onStart is called when a task has been started, with mu held. It may be nil.
+	onStart  func(w *worker, task string)
+	number   int // of its machine
+	life     int // on its machine, from zero
+	id       string
+	machine  string
+	zone     string
+	rack     string
+	milliCPU int64
+	memMB    int64
 
 	mu       sync.Mutex
 	born     int64
@@ -30,7 +35,7 @@
 	running  map[string]*run
 	seen     map[string]uint64 // highest attempt that was started or stopped here
 	finished [][]any
-	number   uint64
+	ends     uint64 // number of the last end
 	wake     chan struct{}
 	done     chan struct{}
 	isDead   bool
@@ -50,13 +55,25 @@
 
 func newWorker(d *deployment, number int) *worker {
 	return &worker{
-		deployment: d, record: d.record, id: fmt.Sprintf("w-%d", number), machine: fmt.Sprintf("m-%d", number), zone: fmt.Sprintf("z%d", number%4),
+		deployment: d, record: d.record, number: number, id: fmt.Sprintf("w-%d", number), machine: fmt.Sprintf("m-%d", number), zone: fmt.Sprintf("z%d", number%4),
 		rack: fmt.Sprintf("r1-%d", number/4), milliCPU: 8000, memMB: 32000, born: time.Now().UnixMilli(),
 		running: map[string]*run{}, seen: map[string]uint64{}, finished: [][]any{}, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
 
+// startWorkers starts n workers. They end with the deployment.
+func (d *deployment) startWorkers(n int) []*worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range n {
+		w := newWorker(d, i)
+		d.workers = append(d.workers, w)
+		go w.work()
+	}
+	return slices.Clone(d.workers)
+}
+
 // crash ends the worker silently.
 func (w *worker) crash() {
 	w.mu.Lock()
@@ -209,6 +226,9 @@
 	w.started++
 	w.running[task] = r
 	w.record.add("worker %s: starts %s run %d", w.id, task, attempt)
+	if w.onStart != nil {
+		w.onStart(w, task)
+	}
 	if r.length > 0 {
 		time.AfterFunc(r.length, func() {
 			w.mu.Lock()
@@ -234,8 +254,8 @@
 
 // list adds an end to the list. w.mu must be held.
 func (w *worker) list(task string, attempt uint64, how string) {
-	w.number++
-	w.finished = append(w.finished, []any{w.number, task, attempt, how, ""})
+	w.ends++
+	w.finished = append(w.finished, []any{w.ends, task, attempt, how, ""})
 	select {
 	case w.wake <- struct{}{}:
 	default:
