--- a/review/_standin2/crowd.go
+++ b/review/_standin2/crowd.go
@@ -5,7 +5,7 @@
 const (
 	crowdJobs    = 500
 	crowdClients = 20
-	// crowdSteps steps with a text of crowdText bytes make a body of 253,581 bytes, below
+	// crowdSteps steps with a text of crowdText bytes make a body of 254,560 bytes, below
 	// the limit of 262,144.
 	crowdSteps = 256
 	crowdText  = 900
