--- a/review/_standin2/deploy.go
+++ b/review/_standin2/deploy.go
@@ -11,11 +11,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Settings of a small deployment, those of the site erv-retornos.
@@ -78,15 +81,17 @@
 	control int
 	stop    chan struct{}
 	wait    sync.WaitGroup
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay time.Duration
 }
 
-// newDeployment starts n machines with disks, each in a zone of its own.
+// newDeployment starts n machines with disks, one after the other in four zones.
 func newDeployment(rec *record, n int) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, record: rec, stop: make(chan struct{})}
+	d := &deployment{dir: dir, record: rec, stop: make(chan struct{}), restartDelay: 500 * time.Millisecond}
 	ports, err := freePorts(5)
 	if err != nil {
 		return nil, err
@@ -169,7 +174,7 @@
 	command.Stdout, command.Stderr = nd.log, nd.log
 	// The kernel ends the process if this one dies.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
+	if err := startOnCore(command, nd.number); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
@@ -190,7 +195,7 @@
 		select {
 		case <-d.stop:
 			return
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(d.restartDelay):
 		}
 		if !isDown {
 			if err := d.start(nd); err != nil {
@@ -201,6 +206,49 @@
 	return nil
 }
 
+// pinThread lets the current thread run on the core of a machine only.
+func pinThread(machine int) error {
+	cores, err := ownCores()
+	if err != nil {
+		return err
+	}
+	var one unix.CPUSet
+	one.Set(cores[(machine+os.Getpid())%len(cores)])
+	return unix.SchedSetaffinity(0, &one)
+}
+
+var ownCores = sync.OnceValues(func() (cores []int, err error) {
+	var all unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &all); err != nil {
+		return nil, err
+	}
+	for i := range 1024 {
+		if all.IsSet(i) {
+			cores = append(cores, i)
+		}
+	}
+	return cores, nil
+})
+
+// startOnCore starts a process that has one core, as the machines have.
+func startOnCore(command *exec.Cmd, machine int) error {
+	cores, err := ownCores()
+	if err != nil {
+		return err
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	if err := pinThread(machine); err != nil {
+		return err
+	}
+	err = command.Start() // the process inherits the core of this thread
+	var all unix.CPUSet
+	for _, core := range cores {
+		all.Set(core)
+	}
+	return errors.Join(err, unix.SchedSetaffinity(0, &all))
+}
+
 // limitMemory kills processes that use more memory than their machine has, until the
 // deployment is stopped.
 func (d *deployment) limitMemory() {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -30,6 +30,7 @@
 	"wide":    playWide,
 	"pending": playPending,
 	"crowd":   playCrowd,
+	"stale":   playStale,
 	"deadly":  playDeadly,
 	"foreign": playForeign,
 	"fields":  playFields,
