--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,4 +5,4 @@
   echo "not built"
   exit 2
 fi
-exec target/standin2 crowd review/9/record.txt
+exec target/standin2 wide review/9/record.txt
