--- a/review/_standin2/fields.go
+++ b/review/_standin2/fields.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	fieldsJobs    = 150
-	fieldsClients = 8
+	fieldsJobs    = 300
+	fieldsClients = 16
 	// fieldsWidth steps, and as many that depend on all of these, make a body of 67 KB.
 	fieldsWidth = 128
 )
