--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -94,11 +96,9 @@
 	close(work)
 	var mu sync.Mutex
 	byStatus := map[int]int{}
-	var group sync.WaitGroup
+	group := conc.NewWaitGroup()
 	for k := range clients {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			for range work {
 				id, status := newJobID(), 0
 				for i := 0; i < crowdAttempts && time.Now().Before(until); i++ {
@@ -113,7 +113,7 @@
 				byStatus[status]++
 				mu.Unlock()
 			}
-		}()
+		})
 	}
 	group.Wait()
 	c.record.add("the crowd: %d jobs of %d bytes handed in by %d clients; last answers by status (0: none): %v", n, len(body), clients, byStatus)
--- a/review/_standin2/deploy.go
+++ b/review/_standin2/deploy.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 )
 
@@ -80,7 +81,7 @@
 	ready   int
 	control int
 	stop    chan struct{}
-	wait    sync.WaitGroup
+	wait    conc.WaitGroup
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay time.Duration
 }
@@ -182,9 +183,7 @@
 	nd.command, nd.exited = command, exited
 	nd.mu.Unlock()
 	d.record.add("platform: machine %d: process %d started", nd.number, command.Process.Pid)
-	d.wait.Add(1)
-	go func() {
-		defer d.wait.Done()
+	d.wait.Go(func() {
 		err := command.Wait()
 		close(exited)
 		d.record.add("platform: machine %d: process %d ended: %v", nd.number, command.Process.Pid, err)
@@ -202,7 +201,7 @@
 				d.record.add("platform: machine %d: cannot start: %v", nd.number, err)
 			}
 		}
-	}()
+	})
 	return nil
 }
 
@@ -252,9 +251,7 @@
 // limitMemory kills processes that use more memory than their machine has, until the
 // deployment is stopped.
 func (d *deployment) limitMemory() {
-	d.wait.Add(1)
-	go func() {
-		defer d.wait.Done()
+	d.wait.Go(func() {
 		for {
 			select {
 			case <-d.stop:
@@ -285,7 +282,7 @@
 				<-exited
 			}
 		}
-	}()
+	})
 }
 
 // residentKB returns the resident memory of a process, zero if it has ended.
--- a/review/_standin2/fields.go
+++ b/review/_standin2/fields.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 // Bounds of the rule on tasks that last: such a task has to run again within restartTime
@@ -63,8 +65,9 @@
 // called, which returns the longest time since the end of a task's run in which under half
 // of the capacity was in use all the while from restartTime on.
 func watchService(workers []*worker, job string, tasks int) func() time.Duration {
-	stop, done := make(chan struct{}), make(chan time.Duration)
-	go func() {
+	stop, done := make(chan struct{}), make(chan time.Duration, 1)
+	group := conc.NewWaitGroup()
+	group.Go(func() {
 		longest := time.Duration(0)
 		absentSince := make([]time.Time, tasks)
 		for {
@@ -103,9 +106,10 @@
 				}
 			}
 		}
-	}()
+	})
 	return func() time.Duration {
 		close(stop)
+		group.Wait()
 		return <-done
 	}
 }
--- a/review/_standin2/stale.go
+++ b/review/_standin2/stale.go
@@ -6,10 +6,11 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -58,17 +59,15 @@
 	var reads, stale, version atomic.Int64
 	var isPaused atomic.Bool
 	end := time.Now().Add(staleTime)
-	var group sync.WaitGroup
+	group := conc.NewWaitGroup()
 	start := func(n int, fn func(client *http.Client, i int)) {
 		for k := range n {
-			group.Add(1)
-			go func() {
-				defer group.Done()
+			group.Go(func() {
 				client := &http.Client{Transport: &http.Transport{}}
 				for i := k; time.Now().Before(end) && stale.Load() == 0; i++ {
 					fn(client, i)
 				}
-			}()
+			})
 		}
 	}
 	start(staleReaders, func(client *http.Client, i int) {
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -69,7 +69,7 @@
 	for i := range n {
 		w := newWorker(d, i)
 		d.workers = append(d.workers, w)
-		go w.work()
+		d.wait.Go(w.work)
 	}
 	return slices.Clone(d.workers)
 }
