Replica, dispatcher: log the start of the leader's lease and reads across it

Callers of GET /v1/config sometimes get an older version while a new leader replays its log. The logs did not tell whether such a read was answered from the state before the replay, from a gateway's copy or by a former leader. The replica now logs once a term when its lease begins, with the entries applied since the election, and the dispatcher logs a read of the state that began before the lease and is answered under it. No behaviour changes.

--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -15,8 +15,13 @@
 // the call. It checks leadership after fn: if the leader was suspended during fn
 // and its lease expired, readState fails and the result of fn must not be used.
 func (d *Dispatcher) readState(fn func(s *bookkeeper.State)) error {
+	before := d.checkLeader()
 	d.StateMachine.View(fn)
-	return d.ensureLeader()
+	err := d.ensureLeader()
+	if before != nil && err == nil {
+		d.Logger.Warn().Msg("dispatcher: state was read before this replica held the lease of its term")
+	}
+	return err
 }
 
 // checkLeader returns nil if this replica is the leader, else a
--- a/internal/replicator/loop.go
+++ b/internal/replicator/loop.go
@@ -330,6 +330,7 @@
 		r.leaseExpiry.Store(nil)
 	} else {
 		r.leaseExpiry.Store(&end)
+		r.logLeaseStart()
 	}
 	s := &carobrock.ReplicaStatus{
 		ID: c.self.GetId(), Name: r.Name, Role: string(c.role()), DiskFull: r.fullError != nil, Term: c.term, Leader: c.leaderID,
@@ -348,7 +349,18 @@
 	}
 	r.status.Store(s)
 	if role := c.role(); role != r.loggedRole {
-		r.loggedRole = role
+		r.loggedRole, r.appliedAtRoleChange = role, r.appliedIndex
 		r.Logger.Info().Str("role", string(role)).Uint64("term", c.term).Msg("replica: role changed")
 	}
 }
+
+// logLeaseStart logs once a term that this replica holds the leader's lease. From then
+// on its state includes all entries of earlier terms.
+func (r *Replica) logLeaseStart() {
+	if r.loggedLeaseTerm == r.core.term {
+		return
+	}
+	r.loggedLeaseTerm = r.core.term
+	r.Logger.Info().Uint64("term", r.core.term).Uint64("applied", r.appliedIndex).Uint64("replayed", r.appliedIndex-r.appliedAtRoleChange).
+		Dur("sinceElection", r.now().Sub(r.core.electedAt)).Msg("replica: lease of the leader begins")
+}
--- a/internal/replicator/replica.go
+++ b/internal/replicator/replica.go
@@ -116,6 +116,10 @@
 	fullError  error
 	loaded     bool
 	loggedRole role
+	// appliedAtRoleChange is the applied index when loggedRole was logged.
+	appliedAtRoleChange uint64
+	// loggedLeaseTerm is the last term in which the start of the lease was logged.
+	loggedLeaseTerm uint64
 	// transferTerm is the term in which an attempt to transfer leadership began,
 	// zero if there was none or it was given up. In that term the replica rejects
 	// proposals.
