Dispatcher: answer no call from the state before a new leader's replay

A new leader applies its whole log when the first entry of its term is committed, and holds the lease only afterwards; a read that got the lock during the replay and was scheduled again after it passed the check. The watch, the versions of zones and the state of waves use readState; the accounts and the cancellation of jobs had the same order of read and check, so that the job of another account, not yet replayed, could be cancelled.

All these calls now check the leadership before the read as well: a replica that holds the lease has applied all that was acknowledged before. The check after the read stays.

--- a/internal/dispatcher/accountstatus.go
+++ b/internal/dispatcher/accountstatus.go
@@ -11,14 +11,17 @@
 // Accounts implements carobrock.JobControl. The numbers of waiting tasks are those of
 // the last placement round that considered all of them.
 func (d *Dispatcher) Accounts(context.Context) (out []carobrock.AccountStatus, err error) {
+	if err := d.ensureLeader(); err != nil {
+		return nil, err
+	}
 	d.mu.Lock()
-	d.StateMachine.View(func(s *bookkeeper.State) {
+	defer d.mu.Unlock()
+	err = d.readState(func(s *bookkeeper.State) {
 		if hasAccounts(s) {
 			out = d.accountStatus(s)
 		}
 	})
-	d.mu.Unlock()
-	if err := d.ensureLeader(); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	return out, nil
--- a/internal/dispatcher/calls.go
+++ b/internal/dispatcher/calls.go
@@ -12,16 +12,15 @@
 )
 
 // readState calls fn with the state, which includes everything committed before
-// the call. It checks leadership after fn: if the leader was suspended during fn
-// and its lease expired, readState fails and the result of fn must not be used.
+// the call. It checks leadership before fn, as a new leader replays the rest of its
+// log before it holds the lease, and after fn: if the leader was suspended during fn
+// and its lease expired, readState fails. The result of fn must then not be used.
 func (d *Dispatcher) readState(fn func(s *bookkeeper.State)) error {
-	before := d.checkLeader()
-	d.StateMachine.View(fn)
-	err := d.ensureLeader()
-	if before != nil && err == nil {
-		d.Logger.Warn().Msg("dispatcher: state was read before this replica held the lease of its term")
+	if err := d.checkLeader(); err != nil {
+		return err
 	}
-	return err
+	d.StateMachine.View(fn)
+	return d.checkLeader()
 }
 
 // checkLeader returns nil if this replica is the leader, else a
@@ -62,12 +61,12 @@
 	}
 	// The account of a job never changes, so the check may precede the command.
 	foreign := false
-	d.StateMachine.View(func(s *bookkeeper.State) {
+	err := d.readState(func(s *bookkeeper.State) {
 		j := s.Jobs[q.ID]
 		foreign = j != nil && !j.IsAccessibleTo(q.Account)
 	})
-	if foreign {
-		return false, d.ensureLeader()
+	if err != nil || foreign {
+		return false, err
 	}
 	res, i, err := d.commitPart(ctx, func(c *carobrock.JobCommand) int {
 		c.Cancel = append(c.Cancel, q.JobKey)
@@ -80,8 +79,7 @@
 }
 
 // JobState implements carobrock.JobControl. It waits neither for a placement round nor
-// for a snapshot. It checks leadership before the read, as a new leader holds everything
-// committed before its term, and after it like readState.
+// for a snapshot. It checks leadership like readState.
 func (d *Dispatcher) JobState(_ context.Context, q carobrock.JobQuery) (state carobrock.JobState, err error) {
 	if err := d.checkLeader(); err != nil {
 		return "", err
--- a/internal/dispatcher/harness_test.go
+++ b/internal/dispatcher/harness_test.go
@@ -37,6 +37,8 @@
 	proposalDelay time.Duration
 	// termDelay is the time that the next reader of the term takes to receive it.
 	termDelay time.Duration
+	// termEnds is set if the replica loses the leadership after the next read of the term.
+	termEnds bool
 }
 
 func (g *fakeLog) Propose(ctx context.Context, term uint64, command []byte) (any, error) {
@@ -87,6 +89,13 @@
 	g.proposalDelay = d
 }
 
+// endTerm makes this replica lose the leadership after the next read of the term.
+func (g *fakeLog) endTerm() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.termEnds = true
+}
+
 // delayNextTerm delays the next reader of the term by d after it has read it.
 func (g *fakeLog) delayNextTerm(d time.Duration) {
 	g.mu.Lock()
@@ -98,6 +107,9 @@
 	g.mu.Lock()
 	term, isLeader, delay := g.term, g.isLeader, g.termDelay
 	g.termDelay = 0
+	if g.termEnds {
+		g.isLeader, g.termEnds = false, false
+	}
 	g.mu.Unlock()
 	time.Sleep(delay)
 	return term, isLeader
--- a/internal/dispatcher/read_test.go
+++ b/internal/dispatcher/read_test.go
@@ -125,3 +125,167 @@
 		t.Error("an accepted job is reported as unknown")
 	}
 }
+
+// stateOfCalls is what the calls of TestNoCallReadsTheStateBeforeTheReplay return
+// after the whole log is applied.
+const (
+	replayedVersion = 2
+	replayedWave    = 5
+	replayedZone    = "az1"
+	replayedAccount = "second"
+)
+
+// applyFirstPart applies the part of the log that a replica holds before it replays the
+// rest: a configuration, and a job of the first account.
+func (h *harness) applyFirstPart() {
+	h.t.Helper()
+	c := newConfiguration(1)
+	c.Accounts = []carobrock.ClientAccount{{Name: "first", Weight: 1}}
+	h.applyCommand(1, &carobrock.JobCommand{Configuration: c, Submit: []carobrock.JobSpec{
+		{ID: jobID(0), Queue: queueKey, Account: "first", Steps: []carobrock.Step{oneCoreStep(1)}},
+	}})
+}
+
+// applyRest applies the rest of the log: a newer configuration with another account, a
+// change of a zone, a completed wave, and a job of the second account under the ID of
+// the first one, which was cancelled and forgotten.
+func (h *harness) applyRest() {
+	h.t.Helper()
+	c := newConfiguration(replayedVersion)
+	c.Accounts = []carobrock.ClientAccount{{Name: replayedAccount, Weight: 1}}
+	h.applyCommand(2, &carobrock.JobCommand{
+		Configuration: c, Zones: []carobrock.ZoneChange{{Name: replayedZone, OutOfService: true, BaseVersion: 1}},
+		Waves:  []carobrock.MaintenanceWave{{Number: replayedWave}},
+		Cancel: []carobrock.JobKey{{ID: jobID(0), Queue: queueKey}},
+	})
+	late := time.Hour.Milliseconds()
+	h.applyCommand(3, &carobrock.JobCommand{AtUnixMillis: late})
+	h.applyCommand(4, &carobrock.JobCommand{AtUnixMillis: late, Submit: []carobrock.JobSpec{
+		{ID: jobID(0), Queue: queueKey, Account: replayedAccount, Steps: []carobrock.Step{oneCoreStep(1)}},
+	}})
+}
+
+func (h *harness) applyCommand(index uint64, c *carobrock.JobCommand) {
+	h.t.Helper()
+	data, err := c.Encode()
+	h.must(err)
+	if err, ok := h.stateMachine.Apply(index, data).(error); ok {
+		h.must(err)
+	}
+}
+
+// readCalls are the calls that answer from the state. Each returns an error, or fails t
+// unless its answer is that of the whole log.
+var readCalls = []struct {
+	name string
+	call func(t *testing.T, d *dispatcher.Dispatcher) error
+}{
+	{"configuration", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		c, err := d.Configuration(context.Background())
+		if err == nil && (c == nil || c.Version != replayedVersion) {
+			t.Errorf("got %+v, want version %d", c, replayedVersion)
+		}
+		return err
+	}},
+	{"watch", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		c, err := d.WatchConfiguration(context.Background(), 0)
+		if err == nil && (c == nil || c.Version != replayedVersion) {
+			t.Errorf("got %+v, want version %d", c, replayedVersion)
+		}
+		return err
+	}},
+	{"zone version", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		version, err := d.ZoneVersion(context.Background(), replayedZone)
+		if err == nil && version != 2 {
+			t.Errorf("got version %d, want 2", version)
+		}
+		return err
+	}},
+	{"wave", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		done, err := d.IsWaveDone(context.Background(), replayedWave)
+		if err == nil && !done {
+			t.Error("a completed wave is reported as running")
+		}
+		return err
+	}},
+	{"accounts", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		accounts, err := d.Accounts(context.Background())
+		if err == nil && (len(accounts) == 0 || accounts[0].Name != replayedAccount) {
+			t.Errorf("got %+v, want account %q first", accounts, replayedAccount)
+		}
+		return err
+	}},
+	{"job state", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		key := carobrock.JobKey{ID: jobID(0), Queue: queueKey}
+		state, err := d.JobState(context.Background(), carobrock.JobQuery{JobKey: key, Account: replayedAccount})
+		if err == nil && state != carobrock.JobPending {
+			t.Errorf("got state %q, want %q", state, carobrock.JobPending)
+		}
+		return err
+	}},
+	{"cancellation by another account", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		key := carobrock.JobKey{ID: jobID(0), Queue: queueKey}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		found, err := d.CancelJob(ctx, carobrock.JobQuery{JobKey: key, Account: "first"})
+		if found || errors.Is(err, carobrock.ErrOutcomeUnknown) {
+			t.Errorf("found %v, error %v: the command to cancel a job of another account was proposed", found, err)
+		}
+		return err
+	}},
+	{"cancellation by its account", func(t *testing.T, d *dispatcher.Dispatcher) error {
+		key := carobrock.JobKey{ID: jobID(0), Queue: queueKey}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		found, err := d.CancelJob(ctx, carobrock.JobQuery{JobKey: key, Account: replayedAccount})
+		if err == nil && !found {
+			t.Error("a stored job is reported as unknown")
+		}
+		return err
+	}},
+}
+
+// prepareReplay returns a harness whose dispatcher is not started and whose replica holds
+// the first part of its log. catchUp runs before the first check of its leadership.
+func prepareReplay(t *testing.T, catchUp func(h *harness)) *harness {
+	t.Helper()
+	m := &bookkeeper.StateMachine{}
+	m.Prepare()
+	g := &electedLog{fakeLog: &fakeLog{stateMachine: m, term: 2, isLeader: true}}
+	h := &harness{t: t, log: g.fakeLog, stateMachine: m}
+	h.d = &dispatcher.Dispatcher{StateMachine: m, Leadership: g, Settings: dispatcher.Settings{Lease: testLease}, Logger: zerolog.Nop()}
+	h.d.Prepare()
+	h.applyFirstPart()
+	g.catchUp = func() { catchUp(h) }
+	return h
+}
+
+// Guards against calls that are answered from the state of a new leader before the
+// replay of its log: an acknowledged configuration, order or job is missing there, and
+// a job of another account can be cancelled.
+func TestNoCallReadsTheStateBeforeTheReplay(t *testing.T) {
+	for _, test := range readCalls {
+		t.Run(test.name, func(t *testing.T) {
+			h := prepareReplay(t, (*harness).applyRest)
+			if err := test.call(t, h.d); err != nil && !errors.Is(err, carobrock.ErrOutcomeUnknown) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// Guards against calls that a replica answers although it lost its leadership in between.
+func TestNoCallIsAnsweredAfterTheLeadership(t *testing.T) {
+	for _, test := range readCalls {
+		t.Run(test.name, func(t *testing.T) {
+			h := prepareReplay(t, func(h *harness) {
+				h.applyRest()
+				h.log.endTerm()
+			})
+			var notLeader *locator.NotLeaderError
+			if err := test.call(t, h.d); !errors.As(err, &notLeader) {
+				t.Errorf("got error %v, want that this replica is not the leader", err)
+			}
+		})
+	}
+}
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/carobrock/carobrock"
 	"github.com/carobrock/carobrock/internal/encoder"
 	"github.com/carobrock/carobrock/internal/journaler"
 	"github.com/carobrock/carobrock/internal/keeper"
@@ -56,6 +57,8 @@
 	logger zerolog.Logger
 	// diskBytes is the space that the journal knows of. Zero: unknown.
 	diskBytes int64
+	// onApply is called before each command is applied. Nil: none.
+	onApply func()
 
 	replica   *replicator.Replica
 	keeper    *keeper.Keeper
@@ -112,7 +115,7 @@
 	}
 	nd.cluster.mu.Unlock()
 	r := &replicator.Replica{
-		Name: nd.name, Address: nd.address, InitialMembers: nd.initial, StateMachine: k, Transport: (*transport)(nd),
+		Name: nd.name, Address: nd.address, InitialMembers: nd.initial, StateMachine: &observedStateMachine{k, nd}, Transport: (*transport)(nd),
 		Journal:         &journaler.Journal{Directory: nd.directory, Name: nd.name, NewIncarnation: func() uint64 { return incarnation }, DiskBytes: nd.diskBytes},
 		ElectionTimeout: electionTimeout, SnapshotEvery: 50, TrailingEntries: 20, Rand: rand.New(rand.NewPCG(seed, 1)), Uptime: nd.uptime, Logger: nd.logger,
 	}
@@ -136,6 +139,20 @@
 	return true
 }
 
+// observedStateMachine is the state machine of a node, which calls its onApply.
+type observedStateMachine struct {
+	carobrock.StateMachine
+	node *node
+}
+
+// Apply implements carobrock.StateMachine.
+func (m *observedStateMachine) Apply(index uint64, command []byte) any {
+	if m.node.onApply != nil {
+		m.node.onApply()
+	}
+	return m.StateMachine.Apply(index, command)
+}
+
 // kill ends the replica immediately. Unsynced data is lost.
 func (nd *node) kill() {
 	if nd.cancel == nil {
