--- a/internal/bookkeeper/ledger.go
+++ b/internal/bookkeeper/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 
@@ -369,11 +370,23 @@
 	return cbor.Marshal(&saved)
 }
 
+// snapshotDecoder decodes snapshots. A snapshot holds as many elements as the state
+// machine that took it, so that no smaller limit applies than the library's largest.
+var snapshotDecoder = newSnapshotDecoder()
+
+func newSnapshotDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants that the library accepts
+	}
+	return mode
+}
+
 // Restore implements carobrock.StateMachine. It returns ErrSnapshot if data
 // cannot be decoded.
 func (m *StateMachine) Restore(_ uint64, data []byte) error {
 	saved := savedState{State: &State{}}
-	if err := cbor.Unmarshal(data, &saved); err != nil {
+	if err := snapshotDecoder.Unmarshal(data, &saved); err != nil {
 		return eris.Wrap(ErrSnapshot, err.Error())
 	}
 	m.mu.Lock()
