Dispatcher: log the size of the largest placement round

The log lines did not tell whether the requests of a round, the stored state or the log is what grows. The leader now logs the requests, the tasks and the memory of a round whenever it is twice as large as the largest before. No behaviour changes.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -108,6 +108,8 @@
 	roundCount     uint64
 	planTime       time.Duration
 	loadLoggedAt   time.Time
+	// largestRound is the number of requests of the largest round that was logged.
+	largestRound int
 	// unusableLoggedAt is when a heartbeat of a pool that is not configured was last
 	// logged.
 	unusableLoggedAt time.Time
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"time"
+	"unsafe"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/pacer"
 	"github.com/carobrock/carobrock/internal/sleeper"
@@ -29,6 +31,8 @@
 	modelRecordInterval = 2 * time.Second
 	// loadLogInterval is the interval at which the load of the leader is logged.
 	loadLogInterval = 5 * time.Second
+	// minLoggedRound is the least number of requests of a round that logRoundSize logs.
+	minLoggedRound = 256
 )
 
 // runPlacement executes placement rounds until ctx is done.
@@ -118,6 +122,7 @@
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
 		d.resetAging()
 		requests := d.waitingRequests(s, round, isFull, ending, candidates, now)
+		d.logRoundSize(s, requests)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
 			d.settleAging(s, requests, len(candidates), isFull, now)
@@ -151,6 +156,21 @@
 	return c, d.term
 }
 
+// logRoundSize logs the size of a round whenever it is twice that of the largest round
+// logged in this process, as the memory of a leader follows it. d.mu must be held.
+func (d *Dispatcher) logRoundSize(s *bookkeeper.State, requests []allocator.Request) {
+	if len(requests) < 2*d.largestRound || len(requests) < minLoggedRound {
+		return
+	}
+	d.largestRound = len(requests)
+	tasks := 0
+	for i := range requests {
+		tasks += len(requests[i].Indices)
+	}
+	d.Logger.Info().Int("requests", len(requests)).Int("tasks", tasks).Int("openJobs", len(s.Open)).
+		Int("bytes", cap(d.ranked)*int(unsafe.Sizeof(rankedRequest{}))).Msg("dispatcher: largest placement round")
+}
+
 // logLoad logs the load of the leader every loadLogInterval. d.mu must be held.
 func (d *Dispatcher) logLoad(s *bookkeeper.State, now time.Time) {
 	if now.Sub(d.loadLoggedAt) < loadLogInterval {
