--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -6,7 +6,6 @@
 	"unsafe"
 
 	"github.com/carobrock/carobrock"
-	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 	"github.com/carobrock/carobrock/internal/pacer"
 	"github.com/carobrock/carobrock/internal/sleeper"
@@ -122,7 +121,6 @@
 		isFull := now.Sub(d.lastFullRound) >= roundInterval
 		d.resetAging()
 		requests := d.waitingRequests(s, round, isFull, ending, candidates, now)
-		d.logRoundSize(s, requests)
 		if len(requests) > 0 {
 			c.Assign = d.allocator.Place(requests, candidates, maxAssignments)
 			d.settleAging(s, requests, len(candidates), isFull, now)
@@ -156,19 +154,16 @@
 	return c, d.term
 }
 
-// logRoundSize logs the size of a round whenever it is twice that of the largest round
-// logged in this process, as the memory of a leader follows it. d.mu must be held.
-func (d *Dispatcher) logRoundSize(s *bookkeeper.State, requests []allocator.Request) {
-	if len(requests) < 2*d.largestRound || len(requests) < minLoggedRound {
+// logRoundSize logs the size of a round, also while it grows, whenever it is twice that of
+// the largest round logged in this process: the memory of a leader follows it. d.mu must
+// be held.
+func (d *Dispatcher) logRoundSize(s *bookkeeper.State, ranked []rankedRequest) {
+	if len(ranked) < 2*d.largestRound || len(ranked) < minLoggedRound {
 		return
 	}
-	d.largestRound = len(requests)
-	tasks := 0
-	for i := range requests {
-		tasks += len(requests[i].Indices)
-	}
-	d.Logger.Info().Int("requests", len(requests)).Int("tasks", tasks).Int("openJobs", len(s.Open)).
-		Int("bytes", cap(d.ranked)*int(unsafe.Sizeof(rankedRequest{}))).Msg("dispatcher: largest placement round")
+	d.largestRound = len(ranked)
+	d.Logger.Info().Int("requests", len(ranked)).Int("bytes", cap(ranked)*int(unsafe.Sizeof(rankedRequest{}))).
+		Str("job", ranked[len(ranked)-1].Job).Int("openJobs", len(s.Open)).Msg("dispatcher: largest placement round")
 }
 
 // logLoad logs the load of the leader every loadLogInterval. d.mu must be held.
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -60,6 +60,7 @@
 					urgency := ranker.UrgencyOf(j, o, k, i, nowMillis)
 					if len(s.Suspects) == 0 {
 						ranked = append(ranked, rankedRequest{r, urgency, j})
+						d.logRoundSize(s, ranked)
 						continue
 					}
 					for _, part := range suspects.splitRequest(&r) {
