Dispatcher: a placement round considers no more tasks than it can assign

A round made a request for each step of each due occurrence, 640,000 of 270 bytes, and one of a step with 100,000 tasks listed them all.

A round now looks at all started occurrences of a job up to 512, by turns if there are more, and at the oldest and the newest of those that were not started. It has one request of each step, and beyond that 300 tasks of a job, with equal shares of its steps, and 4,096 requests of all jobs. A request of a step that is no gang lists 300 tasks at most. Tasks of a step do not differ between occurrences, so nothing that could run is hidden by what is left out. The status of the accounts counts what is left out. The waits, the aging and the limit on unavailable services do not scan all occurrences and tasks either.

TestRoundSizeFollowsWhatCanBePlaced failed before (320,000 requests; 250 million listed tasks), TestRoundSizeOfManyWideJobs as well (400,000 requests, now below 4,900). TestWideJobsRunToCompletion, TestBlockedStepsDoNotHideOthers and TestNewestOccurrencesAreConsidered hold before and after.

--- a/internal/dispatcher/accounts.go
+++ b/internal/dispatcher/accounts.go
@@ -289,8 +289,12 @@
 type accountRound struct {
 	usage []accountUsage
 	rooms []*allocator.Room
-	// waiting counts the waiting tasks by account, except those that were assigned.
+	// waiting counts the waiting tasks by account, except those that were assigned. Of a
+	// job with more than maxStartedVisits started occurrences, the others do not count.
 	waiting []waitingTasks
+	// unlisted counts the waiting tasks that are in no request, by step of a job. The
+	// numbers of the occurrences are zero.
+	unlisted map[carobrock.TaskRef]int
 }
 
 // newAccountRound returns nil if the configuration lists no accounts. d.mu must be
@@ -300,7 +304,7 @@
 		return nil
 	}
 	usage := d.usageByAccount(s)
-	return &accountRound{usage: usage, rooms: roomsByAccount(s, usage), waiting: make([]waitingTasks, len(usage))}
+	return &accountRound{usage: usage, rooms: roomsByAccount(s, usage), waiting: make([]waitingTasks, len(usage)), unlisted: map[carobrock.TaskRef]int{}}
 }
 
 // mayPlace reports whether tasks of a step fit in what is left of the limit of its
@@ -330,6 +334,33 @@
 	return false
 }
 
+// countUnlisted counts n waiting tasks of step i of a job that no request has. round is nil
+// if there are no accounts. d.mu must be held.
+func (d *Dispatcher) countUnlisted(s *bookkeeper.State, round *accountRound, account int, j *bookkeeper.Job, i, n int) {
+	if round == nil || n <= 0 {
+		return
+	}
+	round.waiting[account].total += n
+	if account < len(s.Configuration.Accounts) && neverFits(s.Configuration.Accounts[account].Limit, &j.Spec.Steps[i]) {
+		round.waiting[account].limited += n
+		return
+	}
+	round.unlisted[carobrock.TaskRef{Job: j.Spec.ID, Step: i}] += n
+}
+
+// countUnstarted counts the waiting tasks of n occurrences of a job that have no request,
+// and of which no task was assigned. d.mu must be held.
+func (d *Dispatcher) countUnstarted(s *bookkeeper.State, round *accountRound, account int, j *bookkeeper.Job, n int) {
+	if round == nil || n == 0 {
+		return
+	}
+	for i := range j.Spec.Steps {
+		if len(j.Spec.Steps[i].After) == 0 {
+			d.countUnlisted(s, round, account, j, i, n*j.Spec.Steps[i].Count)
+		}
+	}
+}
+
 // recordHeldBack counts and logs the tasks that were held back by limits. isFull is
 // set if the round considered all waiting tasks. d.mu must be held.
 func (d *Dispatcher) recordHeldBack(s *bookkeeper.State, round *accountRound, requests []allocator.Request, assigned []carobrock.TaskAssignment, isFull bool, now time.Time) {
@@ -343,7 +374,9 @@
 			continue
 		}
 		account := s.Jobs[r.Job].Spec.Account
-		round.waiting[d.accountIndex(s, account)].limited += r.HeldCount
+		unlisted := carobrock.TaskRef{Job: r.Job, Step: r.StepNumber}
+		round.waiting[d.accountIndex(s, account)].limited += r.HeldCount + round.unlisted[unlisted]
+		delete(round.unlisted, unlisted)
 		step := carobrock.TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.StepNumber}
 		if held[step] = true; d.accounts.heldSteps[step] {
 			continue
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,8 +119,14 @@
 	fillersWait   bool
 	// aging bounds the waits of jobs that come after all others.
 	aging agingTable
-	// ranked is the memory for the requests of a round.
+	// ranked is the memory for the requests of a round, window selects them.
 	ranked []rankedRequest
+	window roundWindow
+	// neverAssigned holds the lists that requests of steps without a state share.
+	neverAssigned taskLists
+	// nextVisits holds, for each open job with more started occurrences than a round looks
+	// at, the number from which on the next round does.
+	nextVisits map[string]int
 	// suspectsSince is when each waiting suspect was first found waiting.
 	suspectsSince map[carobrock.TaskRef]time.Time
 	// recentLosses holds the losses of the last outageTime.
@@ -156,6 +162,7 @@
 	d.losses = map[carobrock.WorkerIncarnation]pendingLoss{}
 	d.jobLoadEstimates = map[string]map[*loadEstimate]bool{}
 	d.adviceByStep = map[carobrock.TaskRef]*advice{}
+	d.nextVisits = map[string]int{}
 	d.adviceRequests = make(chan adviceRequest, maxAdviceRequests)
 	d.resetAccounts()
 	d.batcher.reset()
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -87,7 +87,7 @@
 					continue
 				}
 				for i := range j.Spec.Steps {
-					if r, ok := newRequest(j, o, k, i, nil); ok {
+					if r, ok := d.newRequest(j, o, k, i, nil); ok {
 						r.MinPaceFraction = minPaceFraction
 						want = append(want, rankedRequest{Request: r, urgency: ranker.UrgencyOf(j, o, k, i, d.Now().UnixMilli())})
 					}
@@ -143,3 +143,29 @@
 func (d *Dispatcher) RecordHeartbeat(r *carobrock.WorkerReport, now time.Time) {
 	d.recordHeartbeat(r, now)
 }
+
+// RoundSize returns the number of requests and of tasks that a placement round considers.
+func (d *Dispatcher) RoundSize() (requests, tasks int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		now := time.Now()
+		d.resetAging()
+		for _, r := range d.waitingRequests(s, d.newAccountRound(s), true, nil, d.candidateWorkers(s, now), now) {
+			requests++
+			tasks += len(r.Indices)
+		}
+	})
+	return requests, tasks
+}
+
+// WaitingOfFirstAccount returns the numbers of waiting tasks of the first account as of the
+// last round that considered all of them.
+func (d *Dispatcher) WaitingOfFirstAccount() (total, limited int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.accounts.waiting) == 0 {
+		return 0, 0
+	}
+	return d.accounts.waiting[0].total, d.accounts.waiting[0].limited
+}
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -11,13 +11,14 @@
 	"github.com/carobrock/carobrock/internal/ranker"
 )
 
-// waitingRequests returns the waiting tasks that are due, most urgent first, except
-// those in ending. Unless includeAll is set, fillers are left out if some were left over in the last
+// waitingRequests returns requests for the waiting tasks that are due, most urgent first,
+// except those in ending; roundWindow selects them if a job has many. Unless includeAll is
+// set, fillers are left out if some were left over in the last
 // round that considered all: there are many of them, the loads of services change
 // slowly, and new jobs must not overtake those that wait. Jobs for which a worker is
 // kept free are not left out. Left out as well are tasks
 // that do not fit in what the limit of their client account leaves. round is nil if
-// there are no accounts.
+// there are no accounts. d.mu must be held.
 func (d *Dispatcher) waitingRequests(s *bookkeeper.State, round *accountRound, includeAll bool, ending map[carobrock.TaskRef]bool, candidates []*allocator.Worker, now time.Time) []allocator.Request {
 	ranked := d.ranked[:0]
 	endingJobs := map[string]bool{}
@@ -26,6 +27,8 @@
 	}
 	suspects := d.newSuspectQueue(s, now)
 	nowMillis := d.Now().UnixMilli()
+	window := &d.window
+	window.requests = 0
 	for _, j := range s.Open {
 		if j.Queue.Pool == "" {
 			continue
@@ -38,41 +41,54 @@
 		if round != nil {
 			account = d.accountIndex(s, j.Spec.Account)
 		}
-		for k := range j.Spec.DueOccurrences(nowMillis) {
-			if j.IsOccurrenceDone(k) {
-				continue
-			}
+		for _, k := range d.startJob(window, j, nowMillis) {
 			o := j.Occurrence(k)
+			urgency := occurrenceUrgency{job: j, occurrence: o, number: k, atMillis: nowMillis}
 			for i := range j.Spec.Steps {
-				if j.Spec.Steps[i].Filler && !includeAll && d.fillersWait && !d.aging.reservedJobs[j.Spec.ID] {
+				step := &j.Spec.Steps[i]
+				if step.Filler && !includeAll && d.fillersWait && !d.aging.reservedJobs[j.Spec.ID] {
 					continue
 				}
-				if round != nil && !includeAll && !round.mayPlace(account, &j.Spec.Steps[i]) {
+				if round != nil && !includeAll && !round.mayPlace(account, step) {
 					continue
 				}
-				if r, ok := newRequest(j, o, k, i, endingTasks); ok {
-					if round != nil && !d.admitRequest(s, round, account, &r, now) {
-						continue
-					}
-					r.MinPaceFraction = minPaceFraction
-					if j.Queue.Policy != nil {
-						d.fillTickets(&r, j.Queue.Policy, candidates, now)
-					}
-					urgency := ranker.UrgencyOf(j, o, k, i, nowMillis)
-					if len(s.Suspects) == 0 {
-						ranked = append(ranked, rankedRequest{r, urgency, j})
-						d.logRoundSize(s, ranked)
-						continue
-					}
-					for _, part := range suspects.splitRequest(&r) {
-						ranked = append(ranked, rankedRequest{part, urgency, j})
+				if !window.admits(i) {
+					if round != nil && j.IsReady(o, i) {
+						d.countUnlisted(s, round, account, j, i, j.WaitingCount(o, i))
 					}
+					continue
+				}
+				r, ok := d.newRequest(j, o, k, i, endingTasks)
+				if !ok {
+					continue
+				}
+				if round != nil && len(r.Indices) == maxWindowTasks {
+					d.countUnlisted(s, round, account, j, i, j.WaitingCount(o, i)-len(r.Indices))
+				}
+				if round != nil && !d.admitRequest(s, round, account, &r, now) {
+					continue
+				}
+				r.MinPaceFraction = minPaceFraction
+				if j.Queue.Policy != nil {
+					d.fillTickets(&r, j.Queue.Policy, candidates, now)
+				}
+				if len(s.Suspects) == 0 {
+					ranked = append(ranked, rankedRequest{r, urgency.ofStep(i), j})
+					window.add(i, len(r.Indices))
+					d.logRoundSize(s, ranked)
+					continue
+				}
+				for _, part := range suspects.splitRequest(&r) {
+					ranked = append(ranked, rankedRequest{part, urgency.ofStep(i), j})
+					window.add(i, len(part.Indices))
 				}
 			}
 		}
+		d.countUnstarted(s, round, account, j, window.job.unstarted)
 	}
 	if includeAll {
 		d.suspectsSince = suspects.since
+		d.dropVisits(s)
 	}
 	ranked = d.promoteAged(s, ranked, includeAll, candidates, now)
 	d.ranked = ranked
@@ -91,6 +107,29 @@
 	return out
 }
 
+// occurrenceUrgency derives the urgencies of the steps of an occurrence. They differ only
+// between services and others.
+type occurrenceUrgency struct {
+	job        *bookkeeper.Job
+	occurrence *bookkeeper.Occurrence
+	number     int
+	atMillis   int64
+	// known is the urgency of the steps that are no services. It is valid if isKnown is set.
+	known   ranker.Urgency
+	isKnown bool
+}
+
+// ofStep returns the urgency of step i.
+func (x *occurrenceUrgency) ofStep(i int) ranker.Urgency {
+	if x.job.Spec.Steps[i].Service {
+		return ranker.UrgencyOf(x.job, x.occurrence, x.number, i, x.atMillis)
+	}
+	if !x.isKnown {
+		x.known, x.isKnown = ranker.UrgencyOf(x.job, x.occurrence, x.number, i, x.atMillis), true
+	}
+	return x.known
+}
+
 // sortedOrder returns the indices of the requests in the order of their urgency, those
 // of equal urgency in the given order. It moves indices instead of requests, which are
 // large.
@@ -137,27 +176,12 @@
 // memory for long.
 const minPaceFraction = 1.0
 
-// sharedCount is the number of tasks up to which requests of steps without any runs
-// share their indices and attempts.
-const sharedCount = 256
-
-// sharedIndices and sharedAttempts are those of the tasks of a step without any runs.
-// They must not be changed.
-var sharedIndices, sharedAttempts = newTaskLists(sharedCount)
-
-// newTaskLists returns the indices and the next attempts of n tasks without any runs.
-func newTaskLists(n int) (indices []int, attempts []uint64) {
-	indices, attempts = make([]int, n), make([]uint64, n)
-	for i := range n {
-		indices[i], attempts[i] = i, 1
-	}
-	return indices, attempts
-}
-
-// newRequest returns a request for the waiting tasks of a step. It returns false
+// newRequest returns a request for the waiting tasks of a step. Unless the step is a gang,
+// it has the first maxWindowTasks of them. It returns false
 // if there are none, or the steps that it depends on are not done, or runs of a
-// gang are still active. It leaves out the tasks in ending, as these may be done.
-func newRequest(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int, ending map[carobrock.TaskRef]bool) (allocator.Request, bool) {
+// gang are still active. It leaves out the tasks in ending, as these may be done. d.mu
+// must be held.
+func (d *Dispatcher) newRequest(j *bookkeeper.Job, o *bookkeeper.Occurrence, k, i int, ending map[carobrock.TaskRef]bool) (allocator.Request, bool) {
 	step := &j.Spec.Steps[i]
 	waiting := j.WaitingCount(o, i)
 	if waiting == 0 || !j.IsReady(o, i) {
@@ -167,31 +191,29 @@
 	if step.Gang && st != nil && st.ActiveCount > 0 {
 		return allocator.Request{}, false
 	}
+	if !step.Gang {
+		waiting = min(waiting, maxWindowTasks)
+	}
 	r := allocator.Request{Job: j.Spec.ID, Occurrence: k, StepNumber: i, Step: step, Pool: j.Queue.Pool}
 	if step.MaxPerWorker > 0 {
 		r.RunsPerWorker = map[carobrock.WorkerIncarnation]int{}
 	}
 	if st == nil {
-		r.Indices, r.Attempts = sharedIndices, sharedAttempts
-		if step.Count > sharedCount {
-			r.Indices, r.Attempts = newTaskLists(step.Count)
-		}
-		r.Indices, r.Attempts = r.Indices[:step.Count:step.Count], r.Attempts[:step.Count:step.Count]
+		r.Indices, r.Attempts = d.neverAssigned.first(waiting)
 		return r, true
 	}
-	r.Indices, r.Attempts = make([]int, 0, waiting), make([]uint64, 0, waiting)
-	for n := st.Done.NextMissing(0); n < st.Count; n = st.Done.NextMissing(n + 1) {
-		attempt := uint64(1)
-		if t := st.Tasks[n]; t != nil {
+	if r.RunsPerWorker != nil {
+		for _, t := range st.Tasks {
 			for _, run := range t.Runs {
-				if r.RunsPerWorker != nil {
-					r.RunsPerWorker[run.Incarnation]++
-				}
+				r.RunsPerWorker[run.Incarnation]++
 			}
-			if len(t.Runs) > 0 {
-				continue
-			}
-			attempt = t.Attempt + 1
+		}
+	}
+	r.Indices, r.Attempts = make([]int, 0, waiting), make([]uint64, 0, waiting)
+	for n := st.Done.NextMissing(0); n < st.Count && len(r.Indices) < waiting; n = st.Done.NextMissing(n + 1) {
+		t := st.Tasks[n]
+		if t != nil && len(t.Runs) > 0 {
+			continue
 		}
 		if ending[carobrock.TaskRef{Job: j.Spec.ID, Occurrence: k, Step: i, Index: n}] {
 			if step.Gang {
@@ -199,6 +221,10 @@
 			}
 			continue
 		}
+		attempt := uint64(1)
+		if t != nil {
+			attempt = t.Attempt + 1
+		}
 		r.Indices = append(r.Indices, n)
 		r.Attempts = append(r.Attempts, attempt)
 	}
