Check the numbers of repetitions, steps and tasks wherever a job is handed in

Only the platform's decoder checked them; a replica stored whatever another process forwarded, and a negative number of tasks would have ended each replica that assigned one of them. JobSpec.Check refuses them before the job is stored, with the limits that the decoder had.

--- a/validate.go
+++ b/validate.go
@@ -18,6 +18,11 @@
 	MaxCount = 1 << 53
 	// MaxDurationMillis is the longest duration, in milliseconds.
 	MaxDurationMillis = int64(10 * 365 * 24 * time.Hour / time.Millisecond)
+	// MaxJobSteps is the largest number of steps of a job, MaxJobTasks that of the tasks of
+	// all its steps in one occurrence, and MaxRepetitions that of its repetitions.
+	MaxJobSteps    = 256
+	MaxJobTasks    = 100_000
+	MaxRepetitions = 10_000
 	// maxListLength is the largest number of elements of a list in a request.
 	maxListLength = 100_000
 )
@@ -100,8 +105,24 @@
 	if !isCount(s.FirstUnixMillis) || !isDuration(s.IntervalMillis) {
 		return eris.Wrapf(ErrRefused, "the first time %d or the interval of %d ms is out of range", s.FirstUnixMillis, s.IntervalMillis)
 	}
+	if s.Repetitions < 0 || s.Repetitions > MaxRepetitions {
+		return eris.Wrapf(ErrRefused, "%d repetitions, which is negative or above the limit", s.Repetitions)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxJobSteps {
+		return eris.Wrapf(ErrRefused, "%d steps, which is none or above the limit", len(s.Steps))
+	}
+	tasks := 0
 	for i := range s.Steps {
 		step := &s.Steps[i]
+		if step.Count < 1 || step.Count > MaxJobTasks-tasks {
+			return eris.Wrapf(ErrRefused, "step %d has %d tasks, which is less than 1 or brings the job above the limit of tasks", i, step.Count)
+		}
+		tasks += step.Count
+		for _, before := range step.After {
+			if before < 0 || before >= i {
+				return eris.Wrapf(ErrRefused, "step %d depends on step %d, which is not an earlier step", i, before)
+			}
+		}
 		if err := checkText(step.Label, step.DataRack, step.Image); err != nil {
 			return err
 		}
