Dispatcher: tasks that cannot run beside each other do not fill a round

With the bounded rounds, an occurrence with more tasks than max_per_worker lets run at the same time took the share of its step in each round, so that other occurrences of the job never started. Tasks that the workers must not run beside those of their occurrence do not count any more, and suspects, which may be held back, do not either.

--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -41,7 +41,7 @@
 		if round != nil {
 			account = d.accountIndex(s, j.Spec.Account)
 		}
-		for _, k := range d.startJob(window, j, nowMillis) {
+		for _, k := range d.startJob(window, j, candidates, nowMillis) {
 			o := j.Occurrence(k)
 			urgency := occurrenceUrgency{job: j, occurrence: o, number: k, atMillis: nowMillis}
 			for i := range j.Spec.Steps {
@@ -52,7 +52,11 @@
 				if round != nil && !includeAll && !round.mayPlace(account, step) {
 					continue
 				}
-				if !window.admits(i) {
+				n := min(j.WaitingCount(o, i), maxWindowTasks)
+				if n == 0 {
+					continue
+				}
+				if n = spreadLimit(step, o.Step(i), j.Queue.Pool, candidates, n); !window.admits(i, n) {
 					if round != nil && j.IsReady(o, i) {
 						d.countUnlisted(s, round, account, j, i, j.WaitingCount(o, i))
 					}
@@ -74,13 +78,15 @@
 				}
 				if len(s.Suspects) == 0 {
 					ranked = append(ranked, rankedRequest{r, urgency.ofStep(i), j})
-					window.add(i, len(r.Indices))
+					window.add(i, min(n, len(r.Indices)))
 					d.logRoundSize(s, ranked)
 					continue
 				}
 				for _, part := range suspects.splitRequest(&r) {
 					ranked = append(ranked, rankedRequest{part, urgency.ofStep(i), j})
-					window.add(i, len(part.Indices))
+					if !part.IsSuspect {
+						window.add(i, min(n, len(part.Indices)))
+					}
 				}
 			}
 		}
@@ -196,19 +202,12 @@
 	}
 	r := allocator.Request{Job: j.Spec.ID, Occurrence: k, StepNumber: i, Step: step, Pool: j.Queue.Pool}
 	if step.MaxPerWorker > 0 {
-		r.RunsPerWorker = map[carobrock.WorkerIncarnation]int{}
+		r.RunsPerWorker = runsPerWorker(st)
 	}
 	if st == nil {
 		r.Indices, r.Attempts = d.neverAssigned.first(waiting)
 		return r, true
 	}
-	if r.RunsPerWorker != nil {
-		for _, t := range st.Tasks {
-			for _, run := range t.Runs {
-				r.RunsPerWorker[run.Incarnation]++
-			}
-		}
-	}
 	r.Indices, r.Attempts = make([]int, 0, waiting), make([]uint64, 0, waiting)
 	for n := st.Done.NextMissing(0); n < st.Count && len(r.Indices) < waiting; n = st.Done.NextMissing(n + 1) {
 		t := st.Tasks[n]
--- a/internal/dispatcher/window.go
+++ b/internal/dispatcher/window.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/allocator"
 	"github.com/carobrock/carobrock/internal/bookkeeper"
 )
 
@@ -26,8 +27,10 @@
 //
 // Invariant: a round has a request of each step of a job for which some of the occurrences
 // that it looks at have one, and the requests of a step take no room from the others. The
-// tasks of a step do not differ between occurrences, so that tasks which are left out can
-// only be placed if others of their step were.
+// tasks of a step do not differ between occurrences but in how many of them run on a worker
+// and in whether they are suspects. Tasks that a worker must not run beside others of their
+// occurrence, and suspects, do not count. So tasks which are left out can only be placed if
+// others of their step were.
 type roundWindow struct {
 	// requests counts the requests of the round beyond the first one of each step.
 	requests int
@@ -39,8 +42,10 @@
 
 // jobWindow holds what a round considers of one job.
 type jobWindow struct {
-	// tasks counts the tasks of the requests of each step.
-	tasks []int
+	// tasks counts the tasks of the requests of each step, hasRequest is set for those that
+	// have a request.
+	tasks      []int
+	hasRequest []bool
 	// share is the number of tasks of a step above which only its first request counts.
 	share int
 	// unstarted counts the occurrences that are due, none of whose tasks was assigned and
@@ -48,34 +53,71 @@
 	unstarted int
 }
 
-// admits reports whether the round considers a request of step i of the current job.
-func (x *roundWindow) admits(i int) bool {
-	n := x.job.tasks[i]
-	return n == 0 || n < x.job.share && x.requests < maxRoundRequests
+// admits reports whether the round considers a request of step i of the current job, of
+// whose tasks n may be placed beside each other.
+func (x *roundWindow) admits(i, n int) bool {
+	return !x.job.hasRequest[i] || n > 0 && x.job.tasks[i] < x.job.share && x.requests < maxRoundRequests
 }
 
-// add counts a request of step i of the current job.
-func (x *roundWindow) add(i, tasks int) {
-	if x.job.tasks[i] > 0 {
+// add counts a request of step i of the current job for n tasks.
+func (x *roundWindow) add(i, n int) {
+	if x.job.hasRequest[i] {
 		x.requests++
 	}
-	x.job.tasks[i] += tasks
+	x.job.hasRequest[i] = true
+	x.job.tasks[i] += n
+}
+
+// spreadLimit returns how many tasks of a step may be placed beside those of the same
+// occurrence that run already, at most n.
+func spreadLimit(step *carobrock.Step, st *bookkeeper.StepState, pool string, candidates []*allocator.Worker, n int) int {
+	if step.MaxPerWorker == 0 {
+		return n
+	}
+	left := 0
+	runs := runsPerWorker(st)
+	for _, w := range candidates {
+		if w.Pool == pool {
+			left += max(0, step.MaxPerWorker-runs[w.Incarnation])
+		}
+		if left >= n {
+			return n
+		}
+	}
+	return left
+}
+
+// runsPerWorker counts the active runs of a step, which may be nil, by worker incarnation.
+func runsPerWorker(st *bookkeeper.StepState) map[carobrock.WorkerIncarnation]int {
+	out := map[carobrock.WorkerIncarnation]int{}
+	if st == nil {
+		return out
+	}
+	for _, t := range st.Tasks {
+		for i := range t.Runs {
+			out[t.Runs[i].Incarnation]++
+		}
+	}
+	return out
 }
 
 // startJob selects the occurrences of a job that the round looks at and returns their
 // numbers: the started ones, and the oldest and the newest others by turns, as the newest
 // are the most likely to end in time. If that are all, the numbers are in ascending order.
 // d.mu must be held.
-func (d *Dispatcher) startJob(x *roundWindow, j *bookkeeper.Job, nowMillis int64) []int {
+func (d *Dispatcher) startJob(x *roundWindow, j *bookkeeper.Job, candidates []*allocator.Worker, nowMillis int64) []int {
 	steps := len(j.Spec.Steps)
-	x.job = jobWindow{tasks: append(x.job.tasks[:0], make([]int, steps)...), share: maxWindowTasks / max(1, steps)}
+	x.job = jobWindow{
+		tasks: append(x.job.tasks[:0], make([]int, steps)...), hasRequest: append(x.job.hasRequest[:0], make([]bool, steps)...),
+		share: maxWindowTasks / max(1, steps),
+	}
 	due := j.Spec.DueOccurrences(nowMillis)
 	x.occurrences = d.appendStarted(x.occurrences[:0], j, due)
 	started := len(x.occurrences)
 	x.job.unstarted = due - j.Touched.CountBelow(due)
 	n := x.job.unstarted
 	if n > 1 {
-		n = min(n, occurrencesForWindow(&j.Spec))
+		n = min(n, occurrencesForWindow(j, candidates))
 	}
 	low, high := 0, due-1
 	for i := range n {
@@ -123,14 +165,14 @@
 
 // occurrencesForWindow returns the number of occurrences without assigned tasks that fill
 // the share of each step that waits for no other, at least 1.
-func occurrencesForWindow(spec *carobrock.JobSpec) int {
+func occurrencesForWindow(j *bookkeeper.Job, candidates []*allocator.Worker) int {
 	smallest := maxWindowTasks
-	for i := range spec.Steps {
-		if len(spec.Steps[i].After) == 0 {
-			smallest = min(smallest, spec.Steps[i].Count)
+	for i := range j.Spec.Steps {
+		if step := &j.Spec.Steps[i]; len(step.After) == 0 {
+			smallest = min(smallest, spreadLimit(step, nil, j.Queue.Pool, candidates, min(step.Count, maxWindowTasks)))
 		}
 	}
-	return max(1, maxWindowTasks/max(1, smallest*len(spec.Steps)))
+	return max(1, maxWindowTasks/max(1, smallest*len(j.Spec.Steps)))
 }
 
 // taskLists holds the indices and the next attempts of tasks that were never assigned.
--- a/internal/dispatcher/window_test.go
+++ b/internal/dispatcher/window_test.go
@@ -192,6 +192,30 @@
 	})
 }
 
+// Guards against occurrences that can run but never do because an earlier one has more
+// tasks than may run on the workers at the same time.
+func TestSpreadOccurrencesDoNotHideOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const occurrences, workers = 350, 4
+		h := newHarness(t)
+		defer h.stop()
+		fleet := make([]*fakeWorker, workers)
+		for i := range fleet {
+			fleet[i] = h.newWorker(fmt.Sprint("w", i), 64)
+		}
+		step := carobrock.Step{Count: 400, Size: carobrock.Capacity{MilliCPU: 10}, MaxPerWorker: 1}
+		h.submit(repeatedJob("j", occurrences, step))
+		h.sendHeartbeats(60, fleet...)
+		running := 0
+		for _, v := range fleet {
+			running += len(v.report.Running)
+		}
+		if running != occurrences*workers {
+			t.Errorf("%d tasks run, want %d", running, occurrences*workers)
+		}
+	})
+}
+
 // Guards against occurrences that are due now and wait behind a backlog of the same job,
 // although only they can end in time.
 func TestNewestOccurrencesAreConsidered(t *testing.T) {
