--- a/internal/dispatcher/read_test.go
+++ b/internal/dispatcher/read_test.go
@@ -109,25 +109,33 @@
 	return g.fakeLog.Term()
 }
 
-// Guards against a replica that answers from the state that it had before it became the
-// leader: a job that was accepted before the call is reported as unknown, and a job for
-// an existing queue is refused with 404.
-func TestReadIsNotOlderThanLeadership(t *testing.T) {
+// prepareElected returns a harness whose dispatcher is not started and whose replica
+// leads. catchUp runs before the first check of its leadership.
+func prepareElected(t *testing.T, catchUp func(h *harness)) *harness {
+	t.Helper()
 	m := &bookkeeper.StateMachine{}
 	m.Prepare()
 	g := &electedLog{fakeLog: &fakeLog{stateMachine: m, term: 2, isLeader: true}}
 	h := &harness{t: t, log: g.fakeLog, stateMachine: m}
 	h.d = &dispatcher.Dispatcher{StateMachine: m, Leadership: g, Settings: dispatcher.Settings{Lease: testLease}, Logger: zerolog.Nop()}
 	h.d.Prepare()
-	g.catchUp = func() { h.applySubmission(0) }
+	g.catchUp = func() { catchUp(h) }
+	return h
+}
+
+// Guards against a replica that answers from the state that it had before it became the
+// leader: a job that was accepted before the call is reported as unknown, and a job for
+// an existing queue is refused with 404.
+func TestReadIsNotOlderThanLeadership(t *testing.T) {
+	h := prepareElected(t, func(h *harness) { h.applySubmission(0) })
 	state, err := h.d.JobState(context.Background(), carobrock.JobQuery{JobKey: carobrock.JobKey{ID: jobID(0), Queue: queueKey}})
 	if err == nil && state == "" {
 		t.Error("an accepted job is reported as unknown")
 	}
 }
 
-// stateOfCalls is what the calls of TestNoCallReadsTheStateBeforeTheReplay return
-// after the whole log is applied.
+// What the calls of TestNoCallReadsTheStateBeforeTheReplay return once the whole log is
+// applied.
 const (
 	replayedVersion = 2
 	replayedWave    = 5
@@ -245,28 +253,14 @@
 	}},
 }
 
-// prepareReplay returns a harness whose dispatcher is not started and whose replica holds
-// the first part of its log. catchUp runs before the first check of its leadership.
-func prepareReplay(t *testing.T, catchUp func(h *harness)) *harness {
-	t.Helper()
-	m := &bookkeeper.StateMachine{}
-	m.Prepare()
-	g := &electedLog{fakeLog: &fakeLog{stateMachine: m, term: 2, isLeader: true}}
-	h := &harness{t: t, log: g.fakeLog, stateMachine: m}
-	h.d = &dispatcher.Dispatcher{StateMachine: m, Leadership: g, Settings: dispatcher.Settings{Lease: testLease}, Logger: zerolog.Nop()}
-	h.d.Prepare()
-	h.applyFirstPart()
-	g.catchUp = func() { catchUp(h) }
-	return h
-}
-
 // Guards against calls that are answered from the state of a new leader before the
 // replay of its log: an acknowledged configuration, order or job is missing there, and
 // a job of another account can be cancelled.
 func TestNoCallReadsTheStateBeforeTheReplay(t *testing.T) {
 	for _, test := range readCalls {
 		t.Run(test.name, func(t *testing.T) {
-			h := prepareReplay(t, (*harness).applyRest)
+			h := prepareElected(t, (*harness).applyRest)
+			h.applyFirstPart()
 			if err := test.call(t, h.d); err != nil && !errors.Is(err, carobrock.ErrOutcomeUnknown) {
 				t.Errorf("error %v", err)
 			}
@@ -278,10 +272,11 @@
 func TestNoCallIsAnsweredAfterTheLeadership(t *testing.T) {
 	for _, test := range readCalls {
 		t.Run(test.name, func(t *testing.T) {
-			h := prepareReplay(t, func(h *harness) {
+			h := prepareElected(t, func(h *harness) {
 				h.applyRest()
 				h.log.endTerm()
 			})
+			h.applyFirstPart()
 			var notLeader *locator.NotLeaderError
 			if err := test.call(t, h.d); !errors.As(err, &notLeader) {
 				t.Errorf("got error %v, want that this replica is not the leader", err)
