--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -22,6 +24,9 @@
 	trouble = os.Getenv("TROUBLE") != "0"
 	began   = time.Now()
 
+	// background holds what goes on until the case ends. Nothing waits for it.
+	background = conc.NewWaitGroup()
+
 	recordMu   sync.Mutex
 	recordFile *os.File
 )
@@ -46,7 +51,7 @@
 
 func main() {
 	cases := map[string]func() error{
-		"foreign": playForeign, "ticket": playTicket, "pending": playPending, "filling": playFilling, "replaced": playReplaced, "dropped": playDropped,
+		"foreign": playForeign, "ticket": playTicket, "filling": playFilling, "replaced": playReplaced, "dropped": playDropped,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE RECORD")
--- a/review/_standin3/worker.go
+++ b/review/_standin3/worker.go
@@ -59,8 +59,8 @@
 	w.born = time.Now().UnixMilli()
 	w.runs, w.highest, w.wake, w.done = map[string]*run{}, map[string]uint64{}, make(chan struct{}, 1), make(chan struct{})
 	record("worker %s: life %d starts on machine %s", w.id, w.life, w.machine)
-	go w.watchRuns()
-	go w.sendHeartbeats()
+	background.Go(w.watchRuns)
+	background.Go(w.sendHeartbeats)
 	return w
 }
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,3 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 CGO_ENABLED=0 go build -o target/review/standin3 ./review/_standin3
+go build -o target/standin2 ./review/_standin2
