--- a/review/_standin3/cases.go
+++ b/review/_standin3/cases.go
@@ -292,6 +292,7 @@
 					job := fmt.Sprintf("%04x%04x%08x", route+1, client+1, k)
 					status, _ := call(http.MethodPost, fmt.Sprintf("http://%s/q%d/%s", n.callers(), route, job), host,
 						`{"spec":"work=50","steps":[{"count":1,"cpu":100,"mem_mb":16,"estimate_ms":50}]}`, 3*time.Second)
+					record("client %d: POST /q%d/%s at %s: %d", client, route, job, n.name, status)
 					mu.Lock()
 					statuses[status]++
 					if status == http.StatusOK {
