Dispatcher: log and count the starts that workers refuse

A run that ended as refused left no trace in the log: its task was assigned again, and nobody could tell why the worker had refused it, or whether the ticket in the start was one of an earlier incarnation, an expired one or a valid one.

A refusal is now logged with the run, the worker and its incarnation, a cause as far as the leader can tell it, and the incarnation, age and remaining validity of the ticket. The refusals are counted by cause in the section refusedStarts of the dump and in expvar. For that a ticket records the incarnation about which the advisor was asked.

--- a/cmd/carobrock/operations.go
+++ b/cmd/carobrock/operations.go
@@ -91,7 +91,9 @@
 	if n.replica != nil {
 		waits := func() any { return n.replica.Waits() }
 		publishMetric("waits", waits)
-		sections = append(sections, dumper.Section{Name: "waits", State: waits})
+		refusedStarts := func() any { return n.replica.RefusedStarts() }
+		publishMetric("refusedStarts", refusedStarts)
+		sections = append(sections, dumper.Section{Name: "waits", State: waits}, dumper.Section{Name: "refusedStarts", State: refusedStarts})
 	}
 	if n.submitter == nil {
 		return sections
--- a/internal/dispatcher/advice.go
+++ b/internal/dispatcher/advice.go
@@ -42,17 +42,29 @@
 
 // ticket is an admission ticket that the advisor issued for a worker.
 type ticket struct {
-	text      string
-	expiresAt time.Time
+	text string
+	// incarnation is the worker incarnation about which the advisor was asked.
+	incarnation carobrock.WorkerIncarnation
+	requestedAt time.Time
+	expiresAt   time.Time
 }
 
 // adviceRequest asks the advisor which of the listed workers may run a step.
 type adviceRequest struct {
 	step    carobrock.TaskRef
-	workers []string
+	workers []carobrock.WorkerIncarnation
 	policy  carobrock.AdvisorPolicy
 }
 
+// names returns the names of the workers.
+func (q *adviceRequest) names() []string {
+	out := make([]string, len(q.workers))
+	for i, incarnation := range q.workers {
+		out[i] = incarnation.Name
+	}
+	return out
+}
+
 // fillTickets adds the valid tickets for the step to r and queues an advice
 // request if there are fewer tickets than waiting tasks. d.mu must be held.
 func (d *Dispatcher) fillTickets(r *allocator.Request, policy *carobrock.AdvisorPolicy, candidates []*allocator.Worker, now time.Time) {
@@ -78,7 +90,7 @@
 	for _, w := range candidates {
 		name := w.Incarnation.Name
 		if len(q.workers) < maxAdviceWorkers && !a.refused[name] && r.Tickets[name] == "" && allocator.Fits(&unticketed, w) {
-			q.workers = append(q.workers, name)
+			q.workers = append(q.workers, w.Incarnation)
 		}
 	}
 	if len(q.workers) == 0 {
@@ -111,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	requestedAt := time.Now()
-	tickets, err := d.Advisor.Advise(ctx, q.step, q.workers)
+	tickets, err := d.Advisor.Advise(ctx, q.step, q.names())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.adviceByStep[q.step]
@@ -125,11 +137,11 @@
 		return
 	}
 	expiresAt := requestedAt.Add(time.Duration(q.policy.ValidityMillis)*time.Millisecond - ticketMargin)
-	for _, name := range q.workers {
-		if text := tickets[name]; text != "" {
-			a.tickets[name] = ticket{text: text, expiresAt: expiresAt}
+	for _, incarnation := range q.workers {
+		if text := tickets[incarnation.Name]; text != "" {
+			a.tickets[incarnation.Name] = ticket{text: text, incarnation: incarnation, requestedAt: requestedAt, expiresAt: expiresAt}
 		} else {
-			a.refused[name] = true
+			a.refused[incarnation.Name] = true
 		}
 	}
 	d.Logger.Info().Str("job", q.step.Job).Int("step", q.step.Step).Int("asked", len(q.workers)).Int("eligible", len(tickets)).
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -138,6 +138,8 @@
 	waits waitTable
 	// accounts holds what is derived for the client accounts.
 	accounts accountTable
+	// refusals counts and logs the starts that workers refused.
+	refusals startRefusals
 }
 
 var _ carobrock.JobControl = (*Dispatcher)(nil)
--- a/internal/dispatcher/heartbeat.go
+++ b/internal/dispatcher/heartbeat.go
@@ -171,6 +171,7 @@
 		return nil
 	}
 	d.logLateEnds(r, ends, w == nil)
+	d.recordRefusals(r, ends)
 	if w != nil {
 		d.recordOutcomes(w, ends)
 	}
--- /dev/null
+++ b/internal/dispatcher/refusal.go
@@ -0,0 +1,121 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/carobrock/carobrock"
+	"github.com/carobrock/carobrock/internal/bookkeeper"
+	"github.com/carobrock/carobrock/internal/logger"
+)
+
+// refusalCause is the likely reason why a worker refused to start a run, as far as the
+// leader knows. A worker does not tell its reason.
+type refusalCause string
+
+// Values of refusalCause.
+const (
+	// ticketOfOtherIncarnation means that the ticket was issued for another incarnation
+	// of the worker.
+	ticketOfOtherIncarnation refusalCause = "ticketOfOtherIncarnation"
+	// ticketExpired means that the ticket was no longer valid when the worker reported
+	// the refusal.
+	ticketExpired refusalCause = "ticketExpired"
+	// ticketRejected means that the ticket should be valid.
+	ticketRejected refusalCause = "ticketRejected"
+	// ticketUnknown means that the run has a ticket of which this leader knows nothing:
+	// an earlier leader requested it, or a later ticket has replaced it.
+	ticketUnknown refusalCause = "ticketUnknown"
+	// noCapacity means that the run does not fit beside those that the worker lists.
+	noCapacity refusalCause = "noCapacity"
+	// unknownCause means that none of the above applies.
+	unknownCause refusalCause = "unknown"
+)
+
+// startRefusals counts and logs the starts that workers refused. Its zero value is ready
+// for use.
+type startRefusals struct {
+	counts map[refusalCause]int64 // since the start of the process
+	log    logger.LineLimiter
+}
+
+// RefusedStarts returns the number of starts that workers refused since the start of this
+// process, by their likely cause.
+func (d *Dispatcher) RefusedStarts() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]int64{}
+	for cause, n := range d.refusals.counts {
+		out[string(cause)] = n
+	}
+	return out
+}
+
+// recordRefusals records which of the reported ends, none of which is committed, are
+// refusals of active runs.
+func (d *Dispatcher) recordRefusals(r *carobrock.WorkerReport, ends []carobrock.RunEnd) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	d.StateMachine.View(func(s *bookkeeper.State) {
+		for i := range ends {
+			run := carobrock.Run{Task: ends[i].Task, Attempt: ends[i].Attempt}
+			if ends[i].Kind == carobrock.EndRefused && s.IsActive(r.WorkerIncarnation, run) {
+				d.recordRefusal(s, r, run, now)
+			}
+		}
+	})
+}
+
+// recordRefusal counts and logs the refusal of an active run. d.mu must be held.
+func (d *Dispatcher) recordRefusal(s *bookkeeper.State, r *carobrock.WorkerReport, run carobrock.Run, now time.Time) {
+	text := s.Ticket(r.WorkerIncarnation, run)
+	t, isTicketKnown := d.findTicket(stepOf(run), r.Name, text)
+	cause := unknownCause
+	switch {
+	case text != "" && !isTicketKnown:
+		cause = ticketUnknown
+	case text != "" && t.incarnation != r.WorkerIncarnation:
+		cause = ticketOfOtherIncarnation
+	case text != "" && !now.Before(t.expiresAt):
+		cause = ticketExpired
+	case text != "":
+		cause = ticketRejected
+	case !s.Workers[r.WorkerIncarnation].Runs[run].Committed().Fits(reportedFree(s, r)):
+		cause = noCapacity
+	}
+	if d.refusals.counts == nil {
+		d.refusals.counts = map[refusalCause]int64{}
+	}
+	d.refusals.counts[cause]++
+	if !d.refusals.log.Admit(now) {
+		return
+	}
+	e := d.Logger.Warn().Str("worker", r.Name).Int64("started", r.Started).Uint64("sequence", r.Sequence).
+		Str("job", run.Task.Job).Int("occurrence", run.Task.Occurrence).Int("step", run.Task.Step).Int("index", run.Task.Index).
+		Uint64("attempt", run.Attempt).Str("cause", string(cause)).Int("suppressed", d.refusals.log.TakeSuppressed())
+	if isTicketKnown {
+		e = e.Int64("ticketStarted", t.incarnation.Started).Dur("ticketAge", now.Sub(t.requestedAt)).Dur("ticketValidFor", t.expiresAt.Sub(now))
+	}
+	e.Msg("dispatcher: worker refused to start a run")
+}
+
+// findTicket returns the ticket with the given text that the advisor issued for a worker
+// and a step, and whether it is still recorded. d.mu must be held.
+func (d *Dispatcher) findTicket(step carobrock.TaskRef, worker, text string) (ticket, bool) {
+	if a := d.adviceByStep[step]; a != nil && text != "" && a.tickets[worker].text == text {
+		return a.tickets[worker], true
+	}
+	return ticket{}, false
+}
+
+// reportedFree returns the reported capacity less that of the reported runs whose steps are
+// recorded.
+func reportedFree(s *bookkeeper.State, r *carobrock.WorkerReport) carobrock.Capacity {
+	free := r.Capacity
+	for i := range r.Running {
+		if step := s.Workers[r.WorkerIncarnation].Runs[r.Running[i].Run]; step != nil {
+			free = free.Sub(step.Committed())
+		}
+	}
+	return free
+}
--- a/internal/launcher/node.go
+++ b/internal/launcher/node.go
@@ -239,6 +239,9 @@
 // Waits returns why jobs wait, if this replica is the leader.
 func (j *JobReplica) Waits() dispatcher.WaitStatus { return j.dispatcher.Waits() }
 
+// RefusedStarts returns the number of starts that workers refused, by their likely cause.
+func (j *JobReplica) RefusedStarts() map[string]int64 { return j.dispatcher.RefusedStarts() }
+
 // SetSeeds replaces the peer addresses at which the replica looks for the group.
 func (j *JobReplica) SetSeeds(seeds []string) { j.locator.SetSeeds(seeds) }
 
