Dispatcher: keep advice for each incarnation of a worker

The worker refused each start, some 12 to 18 times a second.

Cause: the leader kept the tickets and refusals of the advisor by the name of the worker, and a ticket until its validity ended. A ticket holds for one incarnation only.

Change: tickets and refusals are kept by worker incarnation, requests name incarnations, and the answer about one that was replaced during the request is dropped. A request only counts the tickets of workers that can get tasks, so those of workers that are gone do not keep the advisor from being asked about others. As such a ticket cannot be sent any more, the cause of its refusal is removed.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -252,7 +252,7 @@
 	if r.RunsPerWorker != nil {
 		r.RunsPerWorker[w.Incarnation]++
 	}
-	return carobrock.TaskAssignment{Task: r.taskRef(i), Attempt: r.Attempts[i], Incarnation: w.Incarnation, Ticket: r.Tickets[w.Incarnation.Name]}
+	return carobrock.TaskAssignment{Task: r.taskRef(i), Attempt: r.Attempts[i], Incarnation: w.Incarnation, Ticket: r.Tickets[w.Incarnation]}
 }
 
 // unassignTask undoes assignTask.
@@ -282,7 +282,7 @@
 		return false
 	case r.Avoid[w.Incarnation]:
 		return false
-	case r.NeedsTicket && r.Tickets[w.Incarnation.Name] == "":
+	case r.NeedsTicket && r.Tickets[w.Incarnation] == "":
 		return false
 	default:
 		return true
--- a/internal/allocator/view.go
+++ b/internal/allocator/view.go
@@ -66,9 +66,9 @@
 	// must be able to run beside the services of a worker. Otherwise the filler
 	// waits.
 	MinPaceFraction float64
-	// Tickets holds the admission tickets by worker name. It is used only if
+	// Tickets holds the admission tickets by worker incarnation. It is used only if
 	// NeedsTicket is set.
-	Tickets map[string]string
+	Tickets map[carobrock.WorkerIncarnation]string
 	// NeedsTicket is set if only workers with a ticket may run the step.
 	NeedsTicket bool
 	// Room is what the client account of the job may still start. It is shared by the
--- a/internal/dispatcher/advice.go
+++ b/internal/dispatcher/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/carobrock/carobrock"
@@ -28,11 +29,12 @@
 	adviceRetention = time.Minute
 )
 
-// advice records which workers may run a step.
+// advice records which workers may run a step. What the advisor says of a worker holds
+// for one incarnation: the next one may be of another kind, and needs a ticket of its own.
 type advice struct {
-	tickets map[string]ticket
+	tickets map[carobrock.WorkerIncarnation]ticket
 	// refused holds the workers that must not run the step.
-	refused map[string]bool
+	refused map[carobrock.WorkerIncarnation]bool
 	// isRequested is set while an advice request for the step is queued or in
 	// progress.
 	isRequested bool
@@ -42,9 +44,7 @@
 
 // ticket is an admission ticket that the advisor issued for a worker.
 type ticket struct {
-	text string
-	// incarnation is the worker incarnation about which the advisor was asked.
-	incarnation carobrock.WorkerIncarnation
+	text        string
 	requestedAt time.Time
 	expiresAt   time.Time
 }
@@ -66,34 +66,34 @@
 }
 
 // fillTickets adds the valid tickets for the step to r and queues an advice
-// request if there are fewer tickets than waiting tasks. d.mu must be held.
+// request if there are fewer tickets than waiting tasks.
+// d.mu must be held.
 func (d *Dispatcher) fillTickets(r *allocator.Request, policy *carobrock.AdvisorPolicy, candidates []*allocator.Worker, now time.Time) {
-	r.NeedsTicket, r.Tickets = true, map[string]string{}
+	r.NeedsTicket, r.Tickets = true, map[carobrock.WorkerIncarnation]string{}
 	step := carobrock.TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.StepNumber}
 	a := d.adviceByStep[step]
 	if a == nil {
-		a = &advice{tickets: map[string]ticket{}, refused: map[string]bool{}}
+		a = &advice{tickets: map[carobrock.WorkerIncarnation]ticket{}, refused: map[carobrock.WorkerIncarnation]bool{}}
 		d.adviceByStep[step] = a
 	}
 	a.usedAt = now
-	for name, t := range a.tickets {
-		if now.Before(t.expiresAt) {
-			r.Tickets[name] = t.text
-		}
-	}
-	if a.isRequested || now.Before(a.retryAt) || len(r.Tickets) >= len(r.Indices) {
-		return
-	}
+	mayRequest := !a.isRequested && !now.Before(a.retryAt)
 	q := adviceRequest{step: step, policy: *policy}
 	unticketed := *r
 	unticketed.NeedsTicket = false
 	for _, w := range candidates {
-		name := w.Incarnation.Name
-		if len(q.workers) < maxAdviceWorkers && !a.refused[name] && r.Tickets[name] == "" && allocator.Fits(&unticketed, w) {
+		t := a.tickets[w.Incarnation]
+		isValid := now.Before(t.expiresAt)
+		if isValid {
+			r.Tickets[w.Incarnation] = t.text
+		}
+		switch {
+		case !mayRequest || isValid || a.refused[w.Incarnation] || !allocator.Fits(&unticketed, w):
+		case len(q.workers) < maxAdviceWorkers:
 			q.workers = append(q.workers, w.Incarnation)
 		}
 	}
-	if len(q.workers) == 0 {
+	if len(q.workers) == 0 || len(r.Tickets) >= len(r.Indices) {
 		return
 	}
 	select {
@@ -139,15 +139,29 @@
 	expiresAt := requestedAt.Add(time.Duration(q.policy.ValidityMillis)*time.Millisecond - ticketMargin)
 	for _, incarnation := range q.workers {
 		if text := tickets[incarnation.Name]; text != "" {
-			a.tickets[incarnation.Name] = ticket{text: text, incarnation: incarnation, requestedAt: requestedAt, expiresAt: expiresAt}
+			a.tickets[incarnation] = ticket{text: text, requestedAt: requestedAt, expiresAt: expiresAt}
 		} else {
-			a.refused[incarnation.Name] = true
+			a.refused[incarnation] = true
 		}
 	}
+	a.dropOutdated(d.workers, time.Now())
 	d.Logger.Info().Str("job", q.step.Job).Int("step", q.step.Step).Int("asked", len(q.workers)).Int("eligible", len(tickets)).
 		Dur("took", time.Since(requestedAt)).Msg("dispatcher: advisor responded")
 }
 
+// dropOutdated deletes the tickets that have long expired, and the advice on workers that
+// a later incarnation has replaced, perhaps while the request was in progress.
+func (a *advice) dropOutdated(workers map[string]*worker, now time.Time) {
+	isReplaced := func(incarnation carobrock.WorkerIncarnation) bool {
+		w := workers[incarnation.Name]
+		return w != nil && w.report.WorkerIncarnation != incarnation
+	}
+	maps.DeleteFunc(a.tickets, func(incarnation carobrock.WorkerIncarnation, t ticket) bool {
+		return isReplaced(incarnation) || now.Sub(t.expiresAt) > adviceRetention
+	})
+	maps.DeleteFunc(a.refused, func(incarnation carobrock.WorkerIncarnation, _ bool) bool { return isReplaced(incarnation) })
+}
+
 // dropStaleAdvice deletes advice that was not used for adviceRetention. d.mu must
 // be held.
 func (d *Dispatcher) dropStaleAdvice(now time.Time) {
--- /dev/null
+++ b/internal/dispatcher/advice_test.go
@@ -0,0 +1,127 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/carobrock/carobrock"
+)
+
+// startWithAdvisor returns a started harness whose queue needs tickets of an advisor that
+// knows no worker yet.
+func startWithAdvisor(t *testing.T) (*harness, *incarnationAdvisor) {
+	t.Helper()
+	h := prepareHarness(t)
+	a := &incarnationAdvisor{started: map[string]int64{}}
+	h.d.Advisor = a
+	h.start(&carobrock.AdvisorPolicy{DecisionMillis: 50, ValidityMillis: 60_000})
+	return h, a
+}
+
+// A worker that was back under its name was sent the ticket of its earlier incarnation,
+// which it refused, until the ticket expired (review/14).
+func TestTicketOfAnEarlierIncarnationIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, a := startWithAdvisor(t)
+		defer h.stop()
+		a.setStarted("a", 1)
+		v := h.newRefusingWorker("a", 4, 1)
+		v.sendHeartbeat()
+		h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+		sendHeartbeatsFor(time.Second, v)
+		if diff := cmp.Diff([]string{"job.0#1"}, v.runNames()); diff != "" {
+			t.Fatalf("runs before the crash (-want +got):\n%s", diff)
+		}
+		time.Sleep(4 * time.Second)
+		a.setStarted("a", 2)
+		successor := h.newRefusingWorker("a", 4, 2)
+		sendHeartbeatsFor(3*time.Second, successor)
+		if diff := cmp.Diff([]string{"job.0#2"}, successor.runNames()); diff != "" {
+			t.Errorf("runs after the crash (-want +got):\n%s", diff)
+		}
+		if successor.refused > 0 {
+			t.Errorf("%d starts with a ticket of the earlier incarnation", successor.refused)
+		}
+	})
+}
+
+// What the advisor answers about an incarnation that has ended during the request was kept
+// for the next one.
+func TestAdviceOnAReplacedIncarnationIsNotUsed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// started is the incarnation that the advisor knows when it is asked, zero if
+		// the worker is not eligible.
+		started int64
+	}{
+		{name: "ticket", started: 1},
+		{name: "refusal"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, a := startWithAdvisor(t)
+				defer h.stop()
+				a.setStarted("a", test.started)
+				a.delay = 500 * time.Millisecond
+				v := h.newRefusingWorker("a", 4, 1)
+				v.sendHeartbeat()
+				h.submitJob("job", oneCoreStep(1))
+				for a.callCount() == 0 {
+					v.sendHeartbeat()
+				}
+				a.setStarted("a", 2)
+				successor := h.newRefusingWorker("a", 4, 2)
+				sendHeartbeatsFor(2*time.Second, successor)
+				if diff := cmp.Diff([]string{"job.0#1"}, successor.runNames()); diff != "" || successor.refused > 0 {
+					t.Errorf("%d refused starts; runs (-want +got):\n%s", successor.refused, diff)
+				}
+			})
+		})
+	}
+}
+
+// A worker that was not eligible was never asked about again, though its next incarnation
+// may be of another kind.
+func TestRefusalOfAnEarlierIncarnationDoesNotHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, a := startWithAdvisor(t)
+		defer h.stop()
+		v := h.newRefusingWorker("a", 4, 1)
+		v.sendHeartbeat()
+		h.submitJob("job", oneCoreStep(1))
+		sendHeartbeatsFor(time.Second, v)
+		if n := a.callCount(); n != 1 {
+			t.Errorf("%d advice requests about a worker that is not eligible, want 1", n)
+		}
+		a.setStarted("a", 2)
+		successor := h.newRefusingWorker("a", 4, 2)
+		sendHeartbeatsFor(time.Second, successor)
+		if diff := cmp.Diff([]string{"job.0#1"}, successor.runNames()); diff != "" {
+			t.Errorf("runs (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Tickets of workers that are gone counted as tickets, so that the advisor was not asked
+// about others until they expired.
+func TestTicketOfAWorkerThatIsGoneKeepsNoTaskWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, a := startWithAdvisor(t)
+		defer h.stop()
+		a.setStarted("a", 1)
+		v := h.newRefusingWorker("a", 1, 1)
+		v.sendHeartbeat()
+		h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+		sendHeartbeatsFor(time.Second, v)
+		a.setStarted("b", 1)
+		other := h.newRefusingWorker("b", 1, 1)
+		time.Sleep(2 * testLease)
+		sendHeartbeatsFor(2*time.Second, other)
+		if diff := cmp.Diff([]string{"job.0#2"}, other.runNames()); diff != "" {
+			t.Errorf("runs (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -14,9 +14,6 @@
 
 // Values of refusalCause.
 const (
-	// ticketOfOtherIncarnation means that the ticket was issued for another incarnation
-	// of the worker.
-	ticketOfOtherIncarnation refusalCause = "ticketOfOtherIncarnation"
 	// ticketExpired means that the ticket was no longer valid when the worker reported
 	// the refusal.
 	ticketExpired refusalCause = "ticketExpired"
@@ -69,13 +66,11 @@
 // recordRefusal counts and logs the refusal of an active run. d.mu must be held.
 func (d *Dispatcher) recordRefusal(s *bookkeeper.State, r *carobrock.WorkerReport, run carobrock.Run, now time.Time) {
 	text := s.Ticket(r.WorkerIncarnation, run)
-	t, isTicketKnown := d.findTicket(stepOf(run), r.Name, text)
+	t, isTicketKnown := d.findTicket(stepOf(run), r.WorkerIncarnation, text)
 	cause := unknownCause
 	switch {
 	case text != "" && !isTicketKnown:
 		cause = ticketUnknown
-	case text != "" && t.incarnation != r.WorkerIncarnation:
-		cause = ticketOfOtherIncarnation
 	case text != "" && !now.Before(t.expiresAt):
 		cause = ticketExpired
 	case text != "":
@@ -93,17 +88,20 @@
 	e := d.Logger.Warn().Str("worker", r.Name).Int64("started", r.Started).Uint64("sequence", r.Sequence).
 		Str("job", run.Task.Job).Int("occurrence", run.Task.Occurrence).Int("step", run.Task.Step).Int("index", run.Task.Index).
 		Uint64("attempt", run.Attempt).Str("cause", string(cause)).Int("suppressed", d.refusals.log.TakeSuppressed())
+	if w := d.workers[r.Name]; w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation {
+		e = e.Dur("sinceJoined", now.Sub(w.joinedAt))
+	}
 	if isTicketKnown {
-		e = e.Int64("ticketStarted", t.incarnation.Started).Dur("ticketAge", now.Sub(t.requestedAt)).Dur("ticketValidFor", t.expiresAt.Sub(now))
+		e = e.Dur("ticketAge", now.Sub(t.requestedAt)).Dur("ticketValidFor", t.expiresAt.Sub(now))
 	}
 	e.Msg("dispatcher: worker refused to start a run")
 }
 
 // findTicket returns the ticket with the given text that the advisor issued for a worker
 // and a step, and whether it is still recorded. d.mu must be held.
-func (d *Dispatcher) findTicket(step carobrock.TaskRef, worker, text string) (ticket, bool) {
-	if a := d.adviceByStep[step]; a != nil && text != "" && a.tickets[worker].text == text {
-		return a.tickets[worker], true
+func (d *Dispatcher) findTicket(step carobrock.TaskRef, incarnation carobrock.WorkerIncarnation, text string) (ticket, bool) {
+	if a := d.adviceByStep[step]; a != nil && text != "" && a.tickets[incarnation].text == text {
+		return a.tickets[incarnation], true
 	}
 	return ticket{}, false
 }
--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -101,7 +101,7 @@
 // refusalLine holds the fields of a log line about a refused start that the tests check.
 type refusalLine struct {
 	Worker, Job, Cause, Message string
-	Started, TicketStarted      int64
+	Started                     int64
 	Index                       int
 	Attempt                     uint64
 }
@@ -137,7 +137,7 @@
 			name:   "ticket should be valid",
 			policy: &carobrock.AdvisorPolicy{ValidityMillis: validity.Milliseconds()},
 			refuse: func(v *refusingWorker, run carobrock.Run) { v.endRun(run, carobrock.EndRefused) },
-			want:   refusalLine{Cause: "ticketRejected", TicketStarted: 7},
+			want:   refusalLine{Cause: "ticketRejected"},
 		},
 		{
 			name:   "ticket has expired",
@@ -146,7 +146,7 @@
 				time.Sleep(validity)
 				v.endRun(run, carobrock.EndRefused)
 			},
-			want: refusalLine{Cause: "ticketExpired", TicketStarted: 7},
+			want: refusalLine{Cause: "ticketExpired"},
 		},
 		{
 			name: "no room",
