Dispatcher: ask the advisor while the workers with tickets have no room

Now a ticket counts if its worker fits the task. The number of requests stays bounded, as each incarnation is asked about once in the validity of its ticket, or once if it is not eligible.

TestUnusableTicketsKeepNoTaskWaiting replaces the test of a worker that is gone, which is its first case, unchanged.

--- a/internal/dispatcher/advice.go
+++ b/internal/dispatcher/advice.go
@@ -66,7 +66,7 @@
 }
 
 // fillTickets adds the valid tickets for the step to r and queues an advice
-// request if there are fewer tickets than waiting tasks.
+// request if there are fewer workers with a ticket and room than waiting tasks.
 // d.mu must be held.
 func (d *Dispatcher) fillTickets(r *allocator.Request, policy *carobrock.AdvisorPolicy, candidates []*allocator.Worker, now time.Time) {
 	r.NeedsTicket, r.Tickets = true, map[carobrock.WorkerIncarnation]string{}
@@ -81,6 +81,7 @@
 	q := adviceRequest{step: step, policy: *policy}
 	unticketed := *r
 	unticketed.NeedsTicket = false
+	usable := 0
 	for _, w := range candidates {
 		t := a.tickets[w.Incarnation]
 		isValid := now.Before(t.expiresAt)
@@ -88,12 +89,14 @@
 			r.Tickets[w.Incarnation] = t.text
 		}
 		switch {
-		case !mayRequest || isValid || a.refused[w.Incarnation] || !allocator.Fits(&unticketed, w):
+		case !mayRequest || usable >= len(r.Indices) || a.refused[w.Incarnation] || !allocator.Fits(&unticketed, w):
+		case isValid:
+			usable++
 		case len(q.workers) < maxAdviceWorkers:
 			q.workers = append(q.workers, w.Incarnation)
 		}
 	}
-	if len(q.workers) == 0 || len(r.Tickets) >= len(r.Indices) {
+	if len(q.workers) == 0 || usable >= len(r.Indices) {
 		return
 	}
 	select {
--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -105,23 +105,40 @@
 	})
 }
 
-// Tickets of workers that are gone counted as tickets, so that the advisor was not asked
-// about others until they expired.
-func TestTicketOfAWorkerThatIsGoneKeepsNoTaskWaiting(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h, a := startWithAdvisor(t)
-		defer h.stop()
-		a.setStarted("a", 1)
-		v := h.newRefusingWorker("a", 1, 1)
-		v.sendHeartbeat()
-		h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
-		sendHeartbeatsFor(time.Second, v)
-		a.setStarted("b", 1)
-		other := h.newRefusingWorker("b", 1, 1)
-		time.Sleep(2 * testLease)
-		sendHeartbeatsFor(2*time.Second, other)
-		if diff := cmp.Diff([]string{"job.0#2"}, other.runNames()); diff != "" {
-			t.Errorf("runs (-want +got):\n%s", diff)
-		}
-	})
+// Tickets of workers that are gone or full counted as tickets, so that the advisor was not
+// asked about others until they expired.
+func TestUnusableTicketsKeepNoTaskWaiting(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		isGone bool
+	}{
+		{name: "worker is gone", isGone: true},
+		{name: "worker is full"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, a := startWithAdvisor(t)
+				defer h.stop()
+				a.setStarted("a", 1)
+				v := h.newRefusingWorker("a", 1, 1)
+				v.sendHeartbeat()
+				h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+				sendHeartbeatsFor(time.Second, v)
+				a.setStarted("b", 1)
+				other := h.newRefusingWorker("b", 1, 1)
+				if test.isGone {
+					time.Sleep(2 * testLease)
+				} else {
+					// The worker ends the service, and its room shrinks.
+					v.endRun(v.report.Running[0].Run, carobrock.EndFailed)
+					v.report.Capacity.MilliCPU = 500
+					v.sendHeartbeat()
+				}
+				sendHeartbeatsFor(2*time.Second, other)
+				if diff := cmp.Diff([]string{"job.0#2"}, other.runNames()); diff != "" {
+					t.Errorf("runs (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
 }
