Dispatcher: repeat refused starts with increasing delay

The leader drew no conclusion from an end that was refused. So a worker that refuses a start got it some 14 times a second, with a commit each, and an idle worker that refuses everything got all new jobs first.

After a refusal the worker gets no task of that step for 0.25 s, doubled with each further refusal up to 2 s, which is shorter than the 3 s within which a task must be started. Refusals of starts that were sent together count once. The ticket of the run is forgotten, so that the advisor is asked again. A refusal without a known cause counts like a failed run in the rating of the worker.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -138,7 +138,7 @@
 	waits waitTable
 	// accounts holds what is derived for the client accounts.
 	accounts accountTable
-	// refusals counts and logs the starts that workers refused.
+	// refusals holds what follows from the starts that workers refused.
 	refusals startRefusals
 }
 
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -141,6 +141,7 @@
 			d.moveSlowedFillers(s, candidates, now)
 			d.evictShortages(s, now)
 			d.dropStaleAdvice(now)
+			d.refusals.dropStale(now)
 			d.findProvenRuns(s, c)
 		}
 	})
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"time"
 
 	"github.com/carobrock/carobrock"
@@ -28,11 +29,74 @@
 	unknownCause refusalCause = "unknown"
 )
 
-// startRefusals counts and logs the starts that workers refused. Its zero value is ready
-// for use.
+const (
+	// minRefusalDelay is how long a worker gets no task of a step after it refused to start
+	// one. The delay doubles with each further refusal, up to maxRefusalDelay, which is
+	// shorter than the time within which a task must be started while there is capacity.
+	minRefusalDelay = 250 * time.Millisecond
+	maxRefusalDelay = 2 * time.Second
+	// refusalRetention is how long after the delay a further refusal doubles it.
+	refusalRetention = 10 * time.Second
+)
+
+// startRefusals holds what follows from the starts that workers refused. Its zero value is
+// ready for use.
 type startRefusals struct {
 	counts map[refusalCause]int64 // since the start of the process
 	log    logger.LineLimiter
+	// avoided holds, by step, the worker incarnations that refused to start a run of it.
+	// Steps without such workers have no element.
+	avoided map[carobrock.TaskRef]map[carobrock.WorkerIncarnation]refusalDelay
+}
+
+// refusalDelay is the time during which a worker gets no task of a step.
+type refusalDelay struct {
+	length time.Duration
+	until  time.Time
+}
+
+// delayStarts delays further starts of a step on a worker that has refused one. Refusals of
+// starts that were sent before the last delay do not count.
+func (x *startRefusals) delayStarts(step carobrock.TaskRef, incarnation carobrock.WorkerIncarnation, now time.Time) {
+	if x.avoided == nil {
+		x.avoided = map[carobrock.TaskRef]map[carobrock.WorkerIncarnation]refusalDelay{}
+	}
+	if x.avoided[step] == nil {
+		x.avoided[step] = map[carobrock.WorkerIncarnation]refusalDelay{}
+	}
+	delay := x.avoided[step][incarnation]
+	if now.Before(delay.until) {
+		return
+	}
+	delay.length = min(max(2*delay.length, minRefusalDelay), maxRefusalDelay)
+	delay.until = now.Add(delay.length)
+	x.avoided[step][incarnation] = delay
+}
+
+// avoidedWorkers returns the workers that get no task of a step for now, nil if there are
+// none.
+func (x *startRefusals) avoidedWorkers(step carobrock.TaskRef, now time.Time) (out map[carobrock.WorkerIncarnation]bool) {
+	for incarnation, delay := range x.avoided[step] {
+		if now.Before(delay.until) {
+			if out == nil {
+				out = map[carobrock.WorkerIncarnation]bool{}
+			}
+			out[incarnation] = true
+		}
+	}
+	return out
+}
+
+// dropStale deletes the delays that ended before refusalRetention.
+func (x *startRefusals) dropStale(now time.Time) {
+	for step, delays := range x.avoided {
+		maps.DeleteFunc(delays, func(_ carobrock.WorkerIncarnation, delay refusalDelay) bool {
+			return now.Sub(delay.until) > refusalRetention
+		})
+		if len(delays) == 0 {
+			delete(x.avoided, step)
+		}
+	}
 }
 
 // RefusedStarts returns the number of starts that workers refused since the start of this
@@ -63,10 +127,13 @@
 	})
 }
 
-// recordRefusal counts and logs the refusal of an active run. d.mu must be held.
+// recordRefusal counts and logs the refusal of an active run, forgets its ticket, which the
+// worker would refuse again, and delays further starts of the step on the worker. d.mu must
+// be held.
 func (d *Dispatcher) recordRefusal(s *bookkeeper.State, r *carobrock.WorkerReport, run carobrock.Run, now time.Time) {
+	step := stepOf(run)
 	text := s.Ticket(r.WorkerIncarnation, run)
-	t, isTicketKnown := d.findTicket(stepOf(run), r.WorkerIncarnation, text)
+	t, isTicketKnown := d.findTicket(step, r.WorkerIncarnation, text)
 	cause := unknownCause
 	switch {
 	case text != "" && !isTicketKnown:
@@ -82,13 +149,23 @@
 		d.refusals.counts = map[refusalCause]int64{}
 	}
 	d.refusals.counts[cause]++
+	d.refusals.delayStarts(step, r.WorkerIncarnation, now)
+	if isTicketKnown {
+		delete(d.adviceByStep[step].tickets, r.WorkerIncarnation)
+	}
+	w := d.workers[r.Name]
+	isPresent := w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation
+	if isPresent && cause == unknownCause {
+		w.outcomes.addOutcomes(now, 1, 0)
+	}
 	if !d.refusals.log.Admit(now) {
 		return
 	}
 	e := d.Logger.Warn().Str("worker", r.Name).Int64("started", r.Started).Uint64("sequence", r.Sequence).
 		Str("job", run.Task.Job).Int("occurrence", run.Task.Occurrence).Int("step", run.Task.Step).Int("index", run.Task.Index).
-		Uint64("attempt", run.Attempt).Str("cause", string(cause)).Int("suppressed", d.refusals.log.TakeSuppressed())
-	if w := d.workers[r.Name]; w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation {
+		Uint64("attempt", run.Attempt).Str("cause", string(cause)).Dur("delay", d.refusals.avoided[step][r.WorkerIncarnation].length).
+		Int("suppressed", d.refusals.log.TakeSuppressed())
+	if isPresent {
 		e = e.Dur("sinceJoined", now.Sub(w.joinedAt))
 	}
 	if isTicketKnown {
--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -192,3 +192,90 @@
 }
 
 var _ carobrock.Advisor = (*incarnationAdvisor)(nil)
+
+// A worker that refused a start was sent the same start again at once, some 15 times a
+// second, even if others could run the task.
+func TestRefusedStartsAreRepeatedWithIncreasingDelay(t *testing.T) {
+	const duration = 20 * time.Second
+	// With delays of 0.25, 0.5, 1 and then 2 s there are 12 starts in that time.
+	const maxStarts = 12
+	for _, test := range []struct {
+		name    string
+		advised bool
+	}{
+		{name: "ticket", advised: true},
+		{name: "other cause"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := prepareHarness(t)
+				var policy *carobrock.AdvisorPolicy
+				if test.advised {
+					policy = &carobrock.AdvisorPolicy{ValidityMillis: 60_000}
+				}
+				h.d.Advisor = &incarnationAdvisor{started: map[string]int64{"a": 1, "b": 1}}
+				h.start(policy)
+				defer h.stop()
+				v := h.newRefusingWorker("a", 8, 1)
+				v.refusesAll = true
+				v.sendHeartbeat()
+				h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+				sendHeartbeatsFor(duration, v)
+				if v.refused > maxStarts || v.refused < maxStarts/2 {
+					t.Errorf("%d starts in %v, want at most %d", v.refused, duration, maxStarts)
+				}
+				other := h.newRefusingWorker("b", 1, 1)
+				sendHeartbeatsFor(time.Second, v, other)
+				if len(other.runNames()) != 1 {
+					t.Errorf("runs %v on the other worker, want one", other.runNames())
+				}
+			})
+		})
+	}
+}
+
+// A worker with an outdated ticket for its incarnation, from an advisor that lags behind,
+// must get a newer one.
+func TestRefusedTicketIsRequestedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, a := startWithAdvisor(t)
+		defer h.stop()
+		a.setStarted("a", 1)
+		v := h.newRefusingWorker("a", 4, 2)
+		v.sendHeartbeat()
+		h.submitJob("job", oneCoreStep(4))
+		sendHeartbeatsFor(time.Second, v)
+		if v.refused == 0 || len(v.runNames()) > 0 {
+			t.Fatalf("%d refusals of the outdated ticket, runs %v", v.refused, v.runNames())
+		}
+		a.setStarted("a", 2)
+		sendHeartbeatsFor(3*time.Second, v)
+		if len(v.runNames()) != 4 {
+			t.Errorf("runs %v with the newer ticket, want 4", v.runNames())
+		}
+	})
+}
+
+// A worker that refuses all starts must not attract each new job because it is idle.
+func TestWorkerThatRefusesAllStartsGetsFewOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		v, other := h.newRefusingWorker("a", 8, 1), h.newRefusingWorker("b", 8, 1)
+		v.refusesAll = true
+		sendHeartbeatsFor(time.Second, v, other)
+		const jobs = 40
+		for i := range jobs {
+			h.submitJob(fmt.Sprintf("job%d", i), oneCoreStep(1))
+			for range 4 {
+				sendHeartbeatsFor(40*time.Millisecond, v, other)
+				for len(other.report.Running) > 0 {
+					other.endRun(other.report.Running[0].Run, carobrock.EndSucceeded)
+				}
+			}
+		}
+		if v.refused > jobs/4 {
+			t.Errorf("%d of %d jobs were sent to the worker that refuses them, want at most %d", v.refused, jobs, jobs/4)
+		}
+	})
+}
--- a/internal/dispatcher/waiting.go
+++ b/internal/dispatcher/waiting.go
@@ -73,6 +73,7 @@
 					continue
 				}
 				r.MinPaceFraction = minPaceFraction
+				r.Avoid = d.refusals.avoidedWorkers(carobrock.TaskRef{Job: r.Job, Occurrence: k, Step: i}, now)
 				if j.Queue.Policy != nil {
 					d.fillTickets(&r, j.Queue.Policy, candidates, now)
 				}
