Dispatcher: blame no task for a crash before it was sent

A worker that was restarted quickly, four times in a row, had a task assigned each time that it had not yet been told to start; a task was blamed for each loss whose run was recorded. The same held for an assignment that was being committed while its worker was restarted.

The loss of an incarnation now lists the assigned runs that were not sent to it as no cause, also those that are committed after its end was noticed. As nothing was sent, they cannot have crashed it; runs that an earlier leader assigned still count, as that leader may have sent them. What is applied after a commit is looked up by incarnation, through currentWorker, where the name alone had marked assignments of an ended incarnation on the next one.

Before the change: the job has failed after four restarts (TestTaskThatNeverReachedAWorkerIsNotBlamed), and one crash is counted against the task (TestAssignmentUnderWayDuringARestartIsNotBlamed).

--- a/internal/dispatcher/aging.go
+++ b/internal/dispatcher/aging.go
@@ -289,10 +289,11 @@
 			}
 		}
 	}
-	if d.workers[w.Incarnation.Name] == nil || !allocator.Fits(r, &empty) {
+	known := d.currentWorker(w.Incarnation)
+	if known == nil || !allocator.Fits(r, &empty) {
 		return false
 	}
-	services := d.workers[w.Incarnation.Name].describeServices(&d.baseline, now)
+	services := known.describeServices(&d.baseline, now)
 	share := float64(r.Step.Size.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
 	return !r.Step.Filler || pacer.HeadroomUse(&d.model, services, pacer.Filler{Image: r.Step.Image, Share: share})*r.MinPaceFraction <= 1
 }
--- a/internal/dispatcher/crash.go
+++ b/internal/dispatcher/crash.go
@@ -187,7 +187,7 @@
 	isRecorded := map[carobrock.WorkerIncarnation]bool{}
 	for i := range c.Assign {
 		incarnation := c.Assign[i].Incarnation
-		w := d.workers[incarnation.Name]
+		w := d.currentWorker(incarnation)
 		if rec := s.Workers[incarnation]; isRecorded[incarnation] || rec != nil && rec.Machine != "" || w == nil || w.report.Machine == "" {
 			continue
 		}
@@ -200,8 +200,8 @@
 // workers that run on although their runs were lost. d.mu must be held.
 func (d *Dispatcher) findProvenRuns(s *bookkeeper.State, c *carobrock.JobCommand) {
 	for incarnation, rec := range s.Workers {
-		w := d.workers[incarnation.Name]
-		if w == nil || w.report.WorkerIncarnation != incarnation || d.isBeingLost(incarnation) {
+		w := d.currentWorker(incarnation)
+		if w == nil || d.isBeingLost(incarnation) {
 			continue
 		}
 		if len(rec.LostRuns) > 0 && w.receivedAt.Sub(w.joinedAt) >= survivorTime {
@@ -220,8 +220,8 @@
 		}
 		for i := range t.Runs {
 			incarnation, run := t.Runs[i].Incarnation, carobrock.Run{Task: ref, Attempt: t.Runs[i].Attempt}
-			w := d.workers[incarnation.Name]
-			if w != nil && w.report.WorkerIncarnation == incarnation && !d.isBeingLost(incarnation) && w.isProven(run) {
+			w := d.currentWorker(incarnation)
+			if w != nil && !d.isBeingLost(incarnation) && w.isProven(run) {
 				c.Proven = append(c.Proven, carobrock.WorkerRun{Incarnation: incarnation, Task: ref, Attempt: run.Attempt})
 			}
 		}
@@ -258,6 +258,17 @@
 	return out
 }
 
+// unsentRuns returns the assigned runs that were certainly not sent to the worker.
+func (w *worker) unsentRuns() []carobrock.Run {
+	var out []carobrock.Run
+	for run := range w.assigned {
+		if !w.startsSent[run] {
+			out = append(out, run)
+		}
+	}
+	return out
+}
+
 // isReplaced reports whether the worker incarnation of a record has ended because
 // the sender of r is a newer one under its name or on its machine.
 func isReplaced(incarnation carobrock.WorkerIncarnation, rec *bookkeeper.WorkerRecord, r *carobrock.WorkerReport) bool {
--- a/internal/dispatcher/departure.go
+++ b/internal/dispatcher/departure.go
@@ -111,7 +111,7 @@
 		}
 	}
 	if w != nil {
-		lost.Checkpoints, lost.Proven = w.checkpoints(), w.provenRuns()
+		lost.Checkpoints, lost.Proven = w.checkpoints(), append(w.provenRuns(), w.unsentRuns()...)
 		w.releaseResponse()
 	}
 	d.losses[incarnation] = lost
--- a/internal/dispatcher/evict.go
+++ b/internal/dispatcher/evict.go
@@ -175,8 +175,8 @@
 func (d *Dispatcher) isServing(ref carobrock.TaskRef, t *bookkeeper.Task) bool {
 	for i := range t.Runs {
 		run := carobrock.Run{Task: ref, Attempt: t.Runs[i].Attempt}
-		w := d.workers[t.Runs[i].Incarnation.Name]
-		if w == nil || w.report.WorkerIncarnation != t.Runs[i].Incarnation || w.stopReasons[run] != "" {
+		w := d.currentWorker(t.Runs[i].Incarnation)
+		if w == nil || w.stopReasons[run] != "" {
 			continue
 		}
 		if x := w.reported[run]; x != nil && x.Percent >= 100 {
--- a/internal/dispatcher/placement.go
+++ b/internal/dispatcher/placement.go
@@ -74,22 +74,28 @@
 		if d.losses[incarnation].IncarnationEnded == c.Lost[i].IncarnationEnded {
 			delete(d.losses, incarnation)
 		}
-		if w := d.workers[incarnation.Name]; w != nil && w.report.WorkerIncarnation == incarnation {
+		if w := d.currentWorker(incarnation); w != nil {
 			d.removeWorker(w)
 		}
 	}
 	for i := range c.Withdrawn {
-		if w := d.workers[c.Withdrawn[i].Incarnation.Name]; w != nil {
+		if w := d.currentWorker(c.Withdrawn[i].Incarnation); w != nil {
 			run := carobrock.Run{Task: c.Withdrawn[i].Task, Attempt: c.Withdrawn[i].Attempt}
 			delete(w.withdrawalProposed, run)
 			delete(w.assigned, run)
 		}
 	}
 	for i := range c.Assign {
-		if w := d.workers[c.Assign[i].Incarnation.Name]; w != nil {
-			w.assigned[carobrock.Run{Task: c.Assign[i].Task, Attempt: c.Assign[i].Attempt}] = true
+		incarnation, run := c.Assign[i].Incarnation, carobrock.Run{Task: c.Assign[i].Task, Attempt: c.Assign[i].Attempt}
+		if w := d.currentWorker(incarnation); w != nil {
+			w.assigned[run] = true
 			w.releaseResponse()
 		}
+		// It gets no orders any more, so that the run cannot be the cause of its loss.
+		if lost, ok := d.losses[incarnation]; ok {
+			lost.Proven = append(lost.Proven, run)
+			d.losses[incarnation] = lost
+		}
 	}
 }
 
@@ -200,10 +206,7 @@
 		if len(rec.Runs) == 0 || d.isBeingLost(incarnation) {
 			continue
 		}
-		w := d.workers[incarnation.Name]
-		if w != nil && w.report.WorkerIncarnation != incarnation {
-			w = nil
-		}
+		w := d.currentWorker(incarnation)
 		if !now.After(d.leaseExpiry(w)) {
 			continue
 		}
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -153,9 +153,8 @@
 	if isTicketKnown {
 		delete(d.adviceByStep[step].tickets, r.WorkerIncarnation)
 	}
-	w := d.workers[r.Name]
-	isPresent := w != nil && w.report.WorkerIncarnation == r.WorkerIncarnation
-	if isPresent && cause == unknownCause {
+	w := d.currentWorker(r.WorkerIncarnation)
+	if w != nil && cause == unknownCause {
 		w.outcomes.addOutcomes(now, 1, 0)
 	}
 	if !d.refusals.log.Admit(now) {
@@ -165,7 +164,7 @@
 		Str("job", run.Task.Job).Int("occurrence", run.Task.Occurrence).Int("step", run.Task.Step).Int("index", run.Task.Index).
 		Uint64("attempt", run.Attempt).Str("cause", string(cause)).Dur("delay", d.refusals.avoided[step][r.WorkerIncarnation].length).
 		Int("suppressed", d.refusals.log.TakeSuppressed())
-	if isPresent {
+	if w != nil {
 		e = e.Dur("sinceJoined", now.Sub(w.joinedAt))
 	}
 	if isTicketKnown {
--- a/internal/dispatcher/view.go
+++ b/internal/dispatcher/view.go
@@ -132,7 +132,7 @@
 // dropCandidate makes the description of a worker be derived again, after the
 // allocator has changed it.
 func (d *Dispatcher) dropCandidate(incarnation carobrock.WorkerIncarnation) {
-	if w := d.workers[incarnation.Name]; w != nil {
+	if w := d.currentWorker(incarnation); w != nil {
 		w.view.candidate = nil
 	}
 }
--- a/internal/dispatcher/worker.go
+++ b/internal/dispatcher/worker.go
@@ -220,3 +220,13 @@
 	h.decay(now)
 	return h.failed / (h.failed + h.succeeded + priorSuccesses)
 }
+
+// currentWorker returns the leader's record of a worker incarnation, nil if there is none.
+// What is known of an incarnation must not be applied to a later one under its name. d.mu
+// must be held.
+func (d *Dispatcher) currentWorker(incarnation carobrock.WorkerIncarnation) *worker {
+	if w := d.workers[incarnation.Name]; w != nil && w.report.WorkerIncarnation == incarnation {
+		return w
+	}
+	return nil
+}
--- a/jobcommand.go
+++ b/jobcommand.go
@@ -104,8 +104,8 @@
 	// MayHaveCrashed is set unless the worker had reported that it was leaving.
 	// If the incarnation has also ended, it has crashed.
 	MayHaveCrashed bool `cbor:"4,keyasint,omitempty"`
-	// Proven lists the runs that were seen running for so long that they are not
-	// the cause of a crash.
+	// Proven lists the runs that are not the cause of a crash: those that were seen
+	// running for so long, and those that were never sent to the worker.
 	Proven []Run `cbor:"5,keyasint,omitempty"`
 	// IsWidespread is set if most workers of the availability zone were lost at
 	// about the same time, or if that is not known.
