Scheduler: a restarted worker is avoided for half a minute at most

A worker that failed every task is avoided for up to 10 minutes, and stayed so after a restart that had put it in order. On a worker pool of one its tasks waited all that time.

A new incarnation shortens the avoidance to its least length, 30 s, counted from its begin. The worker is still probed with one task first, and a worker that fails and restarts again and again is not probed more often than every 30 s.

Before the change no task runs within 45 s after the restart (TestRestartedWorkerIsNotAvoidedForLong).

--- a/internal/scheduler/outcomes.go
+++ b/internal/scheduler/outcomes.go
@@ -54,6 +54,17 @@
 	o.avoidedUntil = now.Add(o.avoidanceDuration)
 }
 
+// recordRestart shortens the avoidance of a worker of which a new incarnation has started:
+// the failures of the last one say little about it. The worker is still probed with one
+// task first, since a restart cures no faulty VM, and not before minAvoidanceDuration, so
+// that a worker that fails and restarts again and again gets few tasks.
+func (o *workerOutcomes) recordRestart() {
+	if o.avoidanceDuration > minAvoidanceDuration {
+		o.avoidedUntil = o.avoidedUntil.Add(minAvoidanceDuration - o.avoidanceDuration)
+		o.avoidanceDuration = minAvoidanceDuration
+	}
+}
+
 // isSuspect reports whether suspectAfterFailures distinct tasks have failed in
 // a row on the worker.
 func (o *workerOutcomes) isSuspect() bool {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -277,6 +277,33 @@
 	})
 }
 
+// A worker that had failed every task for long was avoided for up to 10 minutes, even if it
+// was restarted and in order.
+func TestRestartedWorkerIsNotAvoidedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, 1)
+		defer cl.close()
+		faulty := cl.allWorkers()[0]
+		faulty.Faults.FailTasks.Store(true)
+		// The periods of avoidance double while its tasks fail.
+		for i := range 80 {
+			spec := smallTask
+			spec.ID = fmt.Sprint("t", i, "x")
+			cl.submitTasks(1, spec)
+			time.Sleep(6 * time.Second)
+		}
+		faulty.Faults.SuppressAnnouncements.Store(true)
+		faulty.Faults.Suspended.Store(true)
+		cl.replaceWorker(faulty.Address, 0, 1)
+		spec := smallTask
+		spec.ID = "after"
+		cl.submitTasks(1, spec)
+		cl.checkUntil(func() bool {
+			return len(cl.keeper.Tasks(func(task *carobrock.Task) bool { return task.State == carobrock.TaskSucceeded })) > 0
+		}, 45*time.Second)
+	})
+}
+
 // TestCancelWave cancels tasks in all states at once, twice. Each task must
 // end, and no worker may keep an attempt.
 func TestCancelWave(t *testing.T) {
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -93,6 +93,9 @@
 // its reports. An announcement that was sent before the last one received is
 // ignored, except that its incarnation becomes the worker's current one.
 func (t *workerTracker) recordAnnouncement(a *carobrock.Announcement, now time.Time) {
+	if previous, ok := t.currentIncarnation[a.Name]; ok && previous != a.Incarnation {
+		t.outcomesOf(a.Name).recordRestart()
+	}
 	t.currentIncarnation[a.Name] = a.Incarnation
 	state := t.stateOf(workerIncarnation{a.Name, a.Incarnation})
 	if state.reports == nil {
