Dispatcher: log the refusal of a run that is not assigned any more

A refusal that arrives after the run was cancelled, withdrawn or lost was not logged, so the log did not tell all refused starts apart. It has the cause notAssigned now, and delays nothing, as a stop order may have overtaken the start. The choice of the cause is a function of its own.

The case of TestRefusedStartIsLoggedWithItsCause for it fails before, without any line. The other cases and the tests of refused starts pass as before.

--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -30,7 +30,7 @@
 		a.setStarted("a", 1)
 		v := h.newRefusingWorker("a", 4, 1)
 		v.sendHeartbeat()
-		h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+		h.submitJob("job", oneCoreService())
 		sendHeartbeatsFor(time.Second, v)
 		if diff := cmp.Diff([]string{"job.0#1"}, v.runNames()); diff != "" {
 			t.Fatalf("runs before the crash (-want +got):\n%s", diff)
@@ -122,7 +122,7 @@
 				a.setStarted("a", 1)
 				v := h.newRefusingWorker("a", 1, 1)
 				v.sendHeartbeat()
-				h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+				h.submitJob("job", oneCoreService())
 				sendHeartbeatsFor(time.Second, v)
 				a.setStarted("b", 1)
 				other := h.newRefusingWorker("b", 1, 1)
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -15,6 +15,9 @@
 
 // Values of refusalCause.
 const (
+	// runNotAssigned means that the run was not assigned to the worker any more, so that a
+	// stop order may have overtaken the start.
+	runNotAssigned refusalCause = "notAssigned"
 	// ticketExpired means that the ticket was no longer valid when the worker reported
 	// the refusal.
 	ticketExpired refusalCause = "ticketExpired"
@@ -112,51 +115,41 @@
 }
 
 // recordRefusals records which of the reported ends, none of which is committed, are
-// refusals of active runs.
+// refusals.
 func (d *Dispatcher) recordRefusals(r *carobrock.WorkerReport, ends []carobrock.RunEnd) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.StateMachine.View(func(s *bookkeeper.State) {
 		for i := range ends {
-			run := carobrock.Run{Task: ends[i].Task, Attempt: ends[i].Attempt}
-			if ends[i].Kind == carobrock.EndRefused && s.IsActive(r.WorkerIncarnation, run) {
-				d.recordRefusal(s, r, run, now)
+			if ends[i].Kind == carobrock.EndRefused {
+				d.recordRefusal(s, r, carobrock.Run{Task: ends[i].Task, Attempt: ends[i].Attempt}, now)
 			}
 		}
 	})
 }
 
-// recordRefusal counts and logs the refusal of an active run, forgets its ticket, which the
-// worker would refuse again, and delays further starts of the step on the worker. d.mu must
-// be held.
+// recordRefusal counts and logs the refusal of a run. If the run is assigned to the worker,
+// its ticket is forgotten, as the worker would refuse it again, and further starts of the
+// step on the worker are delayed. d.mu must be held.
 func (d *Dispatcher) recordRefusal(s *bookkeeper.State, r *carobrock.WorkerReport, run carobrock.Run, now time.Time) {
 	step := stepOf(run)
-	text := s.Ticket(r.WorkerIncarnation, run)
-	t, isTicketKnown := d.findTicket(step, r.WorkerIncarnation, text)
-	cause := unknownCause
-	switch {
-	case text != "" && !isTicketKnown:
-		cause = ticketUnknown
-	case text != "" && !now.Before(t.expiresAt):
-		cause = ticketExpired
-	case text != "":
-		cause = ticketRejected
-	case !s.Workers[r.WorkerIncarnation].Runs[run].Committed().Fits(reportedFree(s, r)):
-		cause = noCapacity
-	}
-	if d.refusals.counts == nil {
-		d.refusals.counts = map[refusalCause]int64{}
+	t, isTicketKnown := d.findTicket(step, r.WorkerIncarnation, s.Ticket(r.WorkerIncarnation, run))
+	cause := causeOfRefusal(s, r, run, t, now)
+	w := d.currentWorker(r.WorkerIncarnation)
+	if cause != runNotAssigned {
+		d.refusals.delayStarts(step, r.WorkerIncarnation, now)
 	}
-	d.refusals.counts[cause]++
-	d.refusals.delayStarts(step, r.WorkerIncarnation, now)
 	if isTicketKnown {
 		delete(d.adviceByStep[step].tickets, r.WorkerIncarnation)
 	}
-	w := d.currentWorker(r.WorkerIncarnation)
 	if w != nil && cause == unknownCause {
 		w.outcomes.addOutcomes(now, 1, 0)
 	}
+	if d.refusals.counts == nil {
+		d.refusals.counts = map[refusalCause]int64{}
+	}
+	d.refusals.counts[cause]++
 	if !d.refusals.log.Admit(now) {
 		return
 	}
@@ -173,6 +166,26 @@
 	e.Msg("dispatcher: worker refused to start a run")
 }
 
+// causeOfRefusal returns the likely cause why the sender of r refused a run. t is the ticket
+// of the run, zero if it has none or none that is known.
+func causeOfRefusal(s *bookkeeper.State, r *carobrock.WorkerReport, run carobrock.Run, t ticket, now time.Time) refusalCause {
+	switch {
+	case !s.IsActive(r.WorkerIncarnation, run):
+		return runNotAssigned
+	case s.Ticket(r.WorkerIncarnation, run) == "":
+		if !s.Workers[r.WorkerIncarnation].Runs[run].Committed().Fits(reportedFree(s, r)) {
+			return noCapacity
+		}
+		return unknownCause
+	case t.text == "":
+		return ticketUnknown
+	case !now.Before(t.expiresAt):
+		return ticketExpired
+	default:
+		return ticketRejected
+	}
+}
+
 // findTicket returns the ticket with the given text that the advisor issued for a worker
 // and a step, and whether it is still recorded. d.mu must be held.
 func (d *Dispatcher) findTicket(step carobrock.TaskRef, incarnation carobrock.WorkerIncarnation, text string) (ticket, bool) {
--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// oneCoreService returns a step of one service task that requests one core.
+func oneCoreService() carobrock.Step {
+	step := oneCoreStep(1)
+	step.Service = true
+	return step
+}
+
 // refusalLine holds the fields of a log line about a refused start that the tests check.
 type refusalLine struct {
 	Worker, Job, Cause, Message string
@@ -156,6 +163,14 @@
 			},
 			want: refusalLine{Cause: "noCapacity"},
 		},
+		{
+			name: "cancelled before the start",
+			refuse: func(v *refusingWorker, run carobrock.Run) {
+				v.h.cancelJob(run.Task.Job)
+				v.endRun(run, carobrock.EndRefused)
+			},
+			want: refusalLine{Cause: "notAssigned"},
+		},
 		{
 			name:   "unknown",
 			refuse: func(v *refusingWorker, run carobrock.Run) { v.endRun(run, carobrock.EndRefused) },
@@ -219,7 +234,7 @@
 				v := h.newRefusingWorker("a", 8, 1)
 				v.refusesAll = true
 				v.sendHeartbeat()
-				h.submitJob("job", carobrock.Step{Count: 1, Size: carobrock.Capacity{MilliCPU: 1000, MemoryMB: 100}, Service: true})
+				h.submitJob("job", oneCoreService())
 				sendHeartbeatsFor(duration, v)
 				if v.refused > maxStarts || v.refused < maxStarts/2 {
 					t.Errorf("%d starts in %v, want at most %d", v.refused, duration, maxStarts)
