Dispatcher: test random restarts of workers that need tickets

Workers leave and are back under their names at random, beside advice requests, commits and responses that are under way; 20 seeds. No worker is sent a ticket of another incarnation, and all tasks run in the end.

--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -1,11 +1,14 @@
 package dispatcher_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
 
 	"github.com/carobrock/carobrock"
 )
@@ -142,3 +145,62 @@
 		})
 	}
 }
+
+// Workers leave and are back at random, while advice requests, commits and responses are under way.
+// Whatever the order, no worker gets a ticket of another incarnation, and all tasks run in
+// the end.
+func TestRandomRestartsOfWorkersThatNeedTickets(t *testing.T) {
+	const (
+		seeds       = 20
+		workerCount = 6
+		taskCount   = 12
+		duration    = 40 * time.Second
+	)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := rand.New(rand.NewPCG(seed, seed))
+				h, a := startWithAdvisor(t)
+				defer h.stop()
+				a.delay = time.Duration(p.Int64N(int64(400 * time.Millisecond)))
+				step := oneCoreService()
+				step.Count = taskCount
+				h.submitJob("job", step)
+				restartsEnd := time.Now().Add(duration)
+				var last [workerCount]*refusingWorker
+				refused := make([]int, workerCount)
+				calls := conc.NewWaitGroup()
+				for i := range workerCount {
+					random := rand.New(rand.NewPCG(seed, uint64(i+1)))
+					calls.Go(func() {
+						for started := int64(1); time.Now().Before(restartsEnd); started++ {
+							last[i] = h.newRefusingWorker(fmt.Sprint("w", i), 4, started)
+							a.setStarted(last[i].report.Name, started*random.Int64N(2))
+							sendHeartbeatsFor(time.Duration(random.Int64N(int64(5*time.Second))), last[i])
+							// Without this the tasks would be suspected of crashing the workers.
+							last[i].report.Leaving = true
+							last[i].sendHeartbeat()
+							refused[i] += last[i].refused
+							time.Sleep(time.Duration(random.Int64N(int64(4 * time.Second))))
+						}
+						last[i] = h.newRefusingWorker(last[i].report.Name, 4, last[i].report.Started+1)
+						a.setStarted(last[i].report.Name, last[i].report.Started)
+						sendHeartbeatsFor(time.Until(restartsEnd.Add(20*time.Second)), last[i])
+						refused[i] += last[i].refused
+					})
+				}
+				calls.Wait()
+				running := 0
+				for _, v := range last {
+					running += len(v.runNames())
+				}
+				if running != taskCount {
+					t.Errorf("%d tasks run, want %d", running, taskCount)
+				}
+				if diff := cmp.Diff(make([]int, workerCount), refused); diff != "" {
+					t.Errorf("refused starts (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
