Dispatcher: test that advice and delays of ended incarnations are dropped

Mutations of the change showed three parts that no test noticed: advice on replaced incarnations and delays that are over stayed in memory, and a refusal of a run that is not assigned delayed further starts. Each fails a test now.

--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -204,3 +204,22 @@
 		})
 	}
 }
+
+// What is kept for each incarnation must not grow with the number of restarts.
+func TestAdviceOnReplacedIncarnationsIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, a := startWithAdvisor(t)
+		defer h.stop()
+		h.submitJob("job", oneCoreStep(1))
+		const restarts = 30
+		for started := int64(1); started <= restarts; started++ {
+			sendHeartbeatsFor(500*time.Millisecond, h.newRefusingWorker("a", 4, started))
+		}
+		if n := a.callCount(); n != restarts {
+			t.Errorf("%d advice requests about %d incarnations", n, restarts)
+		}
+		if refused, _ := h.d.AdviceSize(); refused != 1 {
+			t.Errorf("advice on %d incarnations is kept, want 1", refused)
+		}
+	})
+}
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -169,3 +169,17 @@
 	}
 	return d.accounts.waiting[0].total, d.accounts.waiting[0].limited
 }
+
+// AdviceSize returns the number of workers that must not run a step, and of delays after
+// refused starts, that are kept.
+func (d *Dispatcher) AdviceSize() (refused, delays int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.adviceByStep {
+		refused += len(a.refused)
+	}
+	for _, x := range d.refusals.avoided {
+		delays += len(x)
+	}
+	return refused, delays
+}
--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -111,6 +111,7 @@
 	Started                     int64
 	Index                       int
 	Attempt                     uint64
+	Delay                       float64 // milliseconds
 }
 
 // refusalLines returns the log lines about refused starts.
@@ -195,6 +196,9 @@
 				refused := h.d.RefusedStarts()
 				h.stop()
 				test.want.Worker, test.want.Started, test.want.Job, test.want.Attempt = "a", 7, "job", 1
+				if test.want.Cause != "notAssigned" {
+					test.want.Delay = 250
+				}
 				if diff := cmp.Diff([]refusalLine{test.want}, refusalLines(t, log.String())); diff != "" {
 					t.Errorf("log lines (-want +got):\n%s", diff)
 				}
@@ -294,3 +298,24 @@
 		}
 	})
 }
+
+// Delays after refused starts are kept for a short time only.
+func TestDelaysOfRefusedStartsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		defer h.stop()
+		v := h.newRefusingWorker("a", 8, 1)
+		v.refusesAll = true
+		for i := range 10 {
+			h.submitJob(fmt.Sprintf("job%d", i), oneCoreStep(1))
+		}
+		sendHeartbeatsFor(time.Second, v)
+		if _, delays := h.d.AdviceSize(); delays != 10 {
+			t.Errorf("delays of %d steps are kept, want 10", delays)
+		}
+		time.Sleep(15 * time.Second)
+		if _, delays := h.d.AdviceSize(); delays != 0 {
+			t.Errorf("delays of %d steps are kept after their time, want none", delays)
+		}
+	})
+}
