--- a/internal/dispatcher/advice.go
+++ b/internal/dispatcher/advice.go
@@ -33,8 +33,8 @@
 // for one incarnation: the next one may be of another kind, and needs a ticket of its own.
 type advice struct {
 	tickets map[carobrock.WorkerIncarnation]ticket
-	// refused holds the workers that must not run the step.
-	refused map[carobrock.WorkerIncarnation]bool
+	// ineligible holds the workers that must not run the step.
+	ineligible map[carobrock.WorkerIncarnation]bool
 	// isRequested is set while an advice request for the step is queued or in
 	// progress.
 	isRequested bool
@@ -73,7 +73,7 @@
 	step := carobrock.TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.StepNumber}
 	a := d.adviceByStep[step]
 	if a == nil {
-		a = &advice{tickets: map[carobrock.WorkerIncarnation]ticket{}, refused: map[carobrock.WorkerIncarnation]bool{}}
+		a = &advice{tickets: map[carobrock.WorkerIncarnation]ticket{}, ineligible: map[carobrock.WorkerIncarnation]bool{}}
 		d.adviceByStep[step] = a
 	}
 	a.usedAt = now
@@ -89,7 +89,7 @@
 			r.Tickets[w.Incarnation] = t.text
 		}
 		switch {
-		case !mayRequest || usable >= len(r.Indices) || a.refused[w.Incarnation] || !allocator.Fits(&unticketed, w):
+		case !mayRequest || usable >= len(r.Indices) || a.ineligible[w.Incarnation] || !allocator.Fits(&unticketed, w):
 		case isValid:
 			usable++
 		case len(q.workers) < maxAdviceWorkers:
@@ -144,7 +144,7 @@
 		if text := tickets[incarnation.Name]; text != "" {
 			a.tickets[incarnation] = ticket{text: text, requestedAt: requestedAt, expiresAt: expiresAt}
 		} else {
-			a.refused[incarnation] = true
+			a.ineligible[incarnation] = true
 		}
 	}
 	a.dropOutdated(d.workers, time.Now())
@@ -162,7 +162,7 @@
 	maps.DeleteFunc(a.tickets, func(incarnation carobrock.WorkerIncarnation, t ticket) bool {
 		return isReplaced(incarnation) || now.Sub(t.expiresAt) > adviceRetention
 	})
-	maps.DeleteFunc(a.refused, func(incarnation carobrock.WorkerIncarnation, _ bool) bool { return isReplaced(incarnation) })
+	maps.DeleteFunc(a.ineligible, func(incarnation carobrock.WorkerIncarnation, _ bool) bool { return isReplaced(incarnation) })
 }
 
 // dropStaleAdvice deletes advice that was not used for adviceRetention. d.mu must
--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -61,7 +61,7 @@
 		started int64
 	}{
 		{name: "ticket", started: 1},
-		{name: "refusal"},
+		{name: "ineligible"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -88,7 +88,7 @@
 
 // A worker that was not eligible was never asked about again, though its next incarnation
 // may be of another kind.
-func TestRefusalOfAnEarlierIncarnationDoesNotHold(t *testing.T) {
+func TestIneligibilityOfAnEarlierIncarnationDoesNotHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h, a := startWithAdvisor(t)
 		defer h.stop()
@@ -218,8 +218,8 @@
 		if n := a.callCount(); n != restarts {
 			t.Errorf("%d advice requests about %d incarnations", n, restarts)
 		}
-		if refused, _ := h.d.AdviceSize(); refused != 1 {
-			t.Errorf("advice on %d incarnations is kept, want 1", refused)
+		if n, _ := h.d.AdviceSize(); n != 1 {
+			t.Errorf("advice on %d incarnations is kept, want 1", n)
 		}
 	})
 }
--- a/internal/dispatcher/export_test.go
+++ b/internal/dispatcher/export_test.go
@@ -172,14 +172,14 @@
 
 // AdviceSize returns the number of workers that must not run a step, and of delays after
 // refused starts, that are kept.
-func (d *Dispatcher) AdviceSize() (refused, delays int) {
+func (d *Dispatcher) AdviceSize() (ineligible, delays int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, a := range d.adviceByStep {
-		refused += len(a.refused)
+		ineligible += len(a.ineligible)
 	}
 	for _, x := range d.refusals.avoided {
 		delays += len(x)
 	}
-	return refused, delays
+	return ineligible, delays
 }
