Dispatcher: use tickets with a validity below the margin

With a validity of 0.5 s or less each ticket counted as expired, so that no task of the queue ran and the advisor was asked again as soon as it had answered. Now at most half of the validity is subtracted.

--- a/internal/dispatcher/advice.go
+++ b/internal/dispatcher/advice.go
@@ -14,8 +14,8 @@
 	// response time grows with the number of workers; for a request of this size it
 	// is still acceptable to users as part of the time of a step.
 	maxAdviceWorkers = 30
-	// ticketMargin is subtracted from the validity of a ticket to leave time for the
-	// commit and for the order to reach the worker.
+	// ticketMargin is subtracted from the validity of a ticket, but not more than half of
+	// it, to leave time for the commit and for the order to reach the worker.
 	ticketMargin = 500 * time.Millisecond
 	// adviceTimeoutMargin is added to the response time that the policy states to
 	// form the timeout of an advice request.
@@ -139,7 +139,8 @@
 		a.retryAt = time.Now().Add(adviceRetryDelay)
 		return
 	}
-	expiresAt := requestedAt.Add(time.Duration(q.policy.ValidityMillis)*time.Millisecond - ticketMargin)
+	validity := time.Duration(q.policy.ValidityMillis) * time.Millisecond
+	expiresAt := requestedAt.Add(validity - min(ticketMargin, validity/2))
 	for _, incarnation := range q.workers {
 		if text := tickets[incarnation.Name]; text != "" {
 			a.tickets[incarnation] = ticket{text: text, requestedAt: requestedAt, expiresAt: expiresAt}
--- a/internal/dispatcher/advice_test.go
+++ b/internal/dispatcher/advice_test.go
@@ -223,3 +223,24 @@
 		}
 	})
 }
+
+// A ticket with a validity below the margin was never used, and requested without pause.
+func TestTicketWithAShortValidityIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := prepareHarness(t)
+		a := &incarnationAdvisor{started: map[string]int64{"a": 1}}
+		h.d.Advisor = a
+		h.start(&carobrock.AdvisorPolicy{ValidityMillis: 400})
+		defer h.stop()
+		v := h.newRefusingWorker("a", 4, 1)
+		v.sendHeartbeat()
+		h.submitJob("job", oneCoreService())
+		sendHeartbeatsFor(time.Second, v)
+		if diff := cmp.Diff([]string{"job.0#1"}, v.runNames()); diff != "" {
+			t.Errorf("runs (-want +got):\n%s", diff)
+		}
+		if n := a.callCount(); n > 2 {
+			t.Errorf("%d advice requests in a second, want at most 2", n)
+		}
+	})
+}
