--- a/internal/dispatcher/refusal_test.go
+++ b/internal/dispatcher/refusal_test.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// joinAndSubmit sends the first heartbeat and submits a job of one service task.
+func (v *refusingWorker) joinAndSubmit() {
+	v.h.t.Helper()
+	v.sendHeartbeat()
+	v.h.submitJob("job", oneCoreService())
+}
+
 // sendHeartbeatsFor sends heartbeats of the workers in turn for d.
 func sendHeartbeatsFor(d time.Duration, workers ...*refusingWorker) {
 	for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(40 * time.Millisecond) {
@@ -237,8 +244,7 @@
 				defer h.stop()
 				v := h.newRefusingWorker("a", 8, 1)
 				v.refusesAll = true
-				v.sendHeartbeat()
-				h.submitJob("job", oneCoreService())
+				v.joinAndSubmit()
 				sendHeartbeatsFor(duration, v)
 				if v.refused > maxStarts || v.refused < maxStarts/2 {
 					t.Errorf("%d starts in %v, want at most %d", v.refused, duration, maxStarts)
